Run a query through entry, gate and backend server

Cause: the project had no code. The first need is the whole path in separate processes, so that every later decision is measured on it.

Change: the decision library (configuration, placement, gate, query, retry budget, routes), the entry and gate daemons, stand-ins for backend servers and the platform, and the configuration tool.

No timing yet.

--- /dev/null
+++ b/crates/cli/src/exit_code.rs
@@ -0,0 +1,41 @@
+use std::process;
+
+use crate::Fault;
+
+/// How a binary ends. The codes are documented in `docs/OPERATING.md`.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitCode {
+    /// Everything was done.
+    Success,
+    /// Something failed while running.
+    Failure,
+    /// The command line or the environment is wrong.
+    Usage,
+    /// The input was read and found wrong.
+    Findings,
+}
+
+impl From<ExitCode> for process::ExitCode {
+    fn from(code: ExitCode) -> process::ExitCode {
+        process::ExitCode::from(match code {
+            ExitCode::Success => 0,
+            ExitCode::Failure => 1,
+            ExitCode::Usage => 2,
+            ExitCode::Findings => 3,
+        })
+    }
+}
+
+/// Turns the result of a binary's work into its exit, printing what went wrong.
+pub fn run(name: &str, result: Result<ExitCode, Fault>) -> process::ExitCode {
+    let code = match result {
+        Ok(code) => code,
+        Err(fault) => {
+            for line in fault.lines() {
+                eprintln!("{name}: {line}");
+            }
+            fault.code()
+        }
+    };
+    code.into()
+}
--- /dev/null
+++ b/crates/core/src/config/check.rs
@@ -0,0 +1,170 @@
+use super::{Finding, Kind, Place, Set, document::Lines};
+use crate::name::Name;
+
+/// Checks a whole configuration and returns every finding, in the order of their places.
+///
+/// `lines` gives the lines of objects that come from a document; it may be empty.
+pub fn check(set: &Set, lines: &Lines) -> Vec<Finding> {
+    let mut checker = Checker { set, lines, findings: Vec::new() };
+    checker.services();
+    checker.servers();
+    checker.shards();
+    checker.snapshots();
+    checker.rules();
+    checker.findings.sort();
+    checker.findings
+}
+
+struct Checker<'a> {
+    set: &'a Set,
+    lines: &'a Lines,
+    findings: Vec<Finding>,
+}
+
+impl Checker<'_> {
+    fn services(&mut self) {
+        for (name, service) in &self.set.services {
+            let at = (Kind::Service, name);
+            self.positive(at, "slots", u64::from(service.slots));
+            self.positive(at, "connections", u64::from(service.connections));
+            self.positive(at, "cold_slots", u64::from(service.cold_slots));
+            if service.cold_slots > service.slots {
+                let message = format!(
+                    "{} is more than the {} slots of a warm server; lower it",
+                    service.cold_slots, service.slots
+                );
+                self.add(at, "cold_slots", message);
+            }
+        }
+    }
+
+    fn servers(&mut self) {
+        let mut addresses = std::collections::BTreeMap::new();
+        for (name, server) in &self.set.servers {
+            let at = (Kind::Server, name);
+            self.refers(at, "service", Kind::Service, &server.service);
+            self.refers(at, "data_centre", Kind::DataCentre, &server.data_centre);
+            if let Some(other) = addresses.insert(server.address, name) {
+                let message =
+                    format!("{} is the address of server \"{other}\" too", server.address);
+                self.add(at, "address", message);
+            }
+        }
+    }
+
+    fn shards(&mut self) {
+        for (name, shard) in &self.set.shards {
+            let at = (Kind::Shard, name);
+            self.refers(at, "service", Kind::Service, &shard.service);
+            if shard.replicas.is_empty() {
+                self.add(at, "replicas", "no server holds the shard; name at least one".into());
+            }
+            self.distinct(at, "replicas", &shard.replicas);
+            for replica in &shard.replicas {
+                self.refers(at, "replicas", Kind::Server, replica);
+                let Some(server) = self.set.servers.get(replica) else { continue };
+                if server.service != shard.service {
+                    let message = format!(
+                        "server \"{replica}\" belongs to service \"{}\", the shard to \"{}\"",
+                        server.service, shard.service
+                    );
+                    self.add(at, "replicas", message);
+                }
+            }
+        }
+    }
+
+    fn snapshots(&mut self) {
+        let mut versions = std::collections::BTreeMap::new();
+        for (name, snapshot) in &self.set.snapshots {
+            let at = (Kind::Snapshot, name);
+            if snapshot.shards.is_empty() {
+                self.add(at, "shards", "the snapshot has no shard; name at least one".into());
+            }
+            self.distinct(at, "shards", &snapshot.shards);
+            let version = (&snapshot.index, snapshot.version);
+            if let Some(other) = versions.insert(version, name) {
+                let message = format!(
+                    "snapshot \"{other}\" has version {} of index \"{}\" too",
+                    snapshot.version, snapshot.index
+                );
+                self.add(at, "version", message);
+            }
+            for shard in &snapshot.shards {
+                self.refers(at, "shards", Kind::Shard, shard);
+                self.same_index(at, shard, &snapshot.index);
+            }
+        }
+    }
+
+    fn same_index(&mut self, at: (Kind, &Name), shard: &Name, index: &Name) {
+        let Some(shard) = self.set.shards.get(shard) else { return };
+        let Some(service) = self.set.services.get(&shard.service) else { return };
+        if service.index != *index {
+            let message = format!(
+                "shard \"{}\" belongs to index \"{}\" through service \"{}\", not to \"{index}\"",
+                shard.name, service.index, service.name
+            );
+            self.add(at, "shards", message);
+        }
+    }
+
+    fn rules(&mut self) {
+        for (name, rule) in &self.set.rules {
+            let at = (Kind::Rule, name);
+            self.positive(at, "deadline_ms", rule.deadline_ms);
+            self.positive(at, "max_hits", rule.max_hits as u64);
+            if !(rule.hedge_quantile > 0.0 && rule.hedge_quantile < 1.0) {
+                let message = format!("{} is not between 0 and 1", rule.hedge_quantile);
+                self.add(at, "hedge_quantile", message);
+            }
+            if rule.services.is_empty() {
+                self.add(at, "services", "the rule reaches no service; name at least one".into());
+            }
+            self.distinct(at, "services", &rule.services);
+            for service in &rule.services {
+                self.refers(at, "services", Kind::Service, service);
+                let Some(found) = self.set.services.get(service) else { continue };
+                if found.index != rule.index {
+                    let message = format!(
+                        "service \"{service}\" belongs to index \"{}\", the rule to \"{}\"",
+                        found.index, rule.index
+                    );
+                    self.add(at, "services", message);
+                }
+            }
+            if self.set.snapshots_of(&rule.index).is_empty() {
+                let message = format!("index \"{}\" has no snapshot; add one", rule.index);
+                self.add(at, "index", message);
+            }
+        }
+    }
+
+    fn refers(&mut self, at: (Kind, &Name), field: &'static str, kind: Kind, name: &Name) {
+        if self.set.contains(kind, name) {
+            return;
+        }
+        self.add(at, field, format!("there is no {kind} \"{name}\"; add it or correct the name"));
+    }
+
+    fn distinct(&mut self, at: (Kind, &Name), field: &'static str, names: &[Name]) {
+        let mut seen = std::collections::BTreeSet::new();
+        for name in names {
+            if !seen.insert(name) {
+                self.add(at, field, format!("\"{name}\" stands twice; remove one"));
+            }
+        }
+    }
+
+    fn positive(&mut self, at: (Kind, &Name), field: &'static str, value: u64) {
+        if value == 0 {
+            self.add(at, field, "must be at least 1".into());
+        }
+    }
+
+    fn add(&mut self, (kind, name): (Kind, &Name), field: &'static str, message: String) {
+        let line = self.lines.get(&(kind, name.clone())).copied();
+        let place = Place { line, kind, name: name.clone(), field };
+        self.findings.push(Finding { place, message });
+    }
+}
--- /dev/null
+++ b/crates/core/src/config/mod.rs
@@ -0,0 +1,43 @@
+//! Configuration: named objects that refer to one another, checked and published whole.
+
+mod bundle;
+mod chain;
+mod change;
+mod check;
+mod class;
+mod data_centre;
+mod digest;
+mod document;
+mod finding;
+mod head;
+mod kind;
+mod place;
+mod rule;
+mod server;
+mod service;
+mod set;
+mod shard;
+mod snapshot;
+mod stamp;
+
+pub use self::{
+    bundle::{Bundle, BundleError, MAX_PART},
+    chain::{Chain, Origin, Verdict},
+    change::{Change, Reference},
+    check::check,
+    class::Class,
+    data_centre::{DataCentre, Intake},
+    digest::{Digest, DigestError},
+    document::{Document, Lines, ParseError},
+    finding::Finding,
+    head::Head,
+    kind::Kind,
+    place::Place,
+    rule::Rule,
+    server::Server,
+    service::Service,
+    set::Set,
+    shard::Shard,
+    snapshot::Snapshot,
+    stamp::{Stamp, StampError},
+};
--- /dev/null
+++ b/crates/core/src/gate/rank.rs
@@ -0,0 +1,8 @@
+/// The place of a gate in the ranking of a server's block.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Rank {
+    /// First of the gates that this gate believes alive.
+    Primary,
+    /// Not first: another gate is believed to serve the block.
+    Standby,
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,19 @@
+//! Coordination parts for a query tier between callers and many shards.
+//!
+//! Every part is a plain struct that takes events with the current [`time::Time`] and returns
+//! actions or answers. No part reads a clock, opens a socket, starts a task or draws randomness
+//! except from a seeded generator that is passed in. The daemons of this project drive the parts;
+//! other programs can embed them in the same way.
+
+pub mod backend;
+pub mod config;
+pub mod fingerprint;
+pub mod gate;
+pub mod name;
+pub mod outcome;
+pub mod place;
+pub mod query;
+pub mod retry;
+pub mod route;
+pub mod time;
+pub mod wire;
--- /dev/null
+++ b/crates/core/src/name/mod.rs
@@ -0,0 +1,40 @@
+//! Names of configuration objects, VMs and servers.
+
+use std::{borrow::Borrow, fmt, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+
+/// A shared immutable name. Cloning copies a pointer.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Name(Arc<str>);
+
+impl Name {
+    /// Creates a name from text.
+    pub fn new(text: impl Into<Arc<str>>) -> Name {
+        Name(text.into())
+    }
+
+    /// Returns the text of the name.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<&str> for Name {
+    fn from(text: &str) -> Name {
+        Name::new(text)
+    }
+}
+
+impl Borrow<str> for Name {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/query/answer.rs
@@ -0,0 +1,64 @@
+use serde::{Deserialize, Serialize};
+
+use super::{Coverage, Hit, merge};
+use crate::{name::Name, outcome::Reply};
+
+/// What a caller is told about its request.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Answer {
+    /// The fate of the request.
+    pub verdict: Verdict,
+    /// The version of the index that every hit was drawn from, if one was pinned.
+    pub snapshot: Option<u64>,
+    /// How much of that snapshot is covered.
+    pub coverage: Coverage,
+    /// The merged hits, best first.
+    pub hits: Vec<Hit>,
+}
+
+impl Answer {
+    /// Creates the answer from the replies of the shards, all drawn from `snapshot`.
+    pub fn new(
+        snapshot: u64,
+        replies: Vec<(Name, Reply)>,
+        mut coverage: Coverage,
+        may_have_run: bool,
+        deduplicate: bool,
+        max_hits: usize,
+    ) -> Answer {
+        let hits = merge(replies, &mut coverage, deduplicate, max_hits);
+        let verdict = Verdict::new(&coverage, may_have_run);
+        Answer { verdict, snapshot: Some(snapshot), coverage, hits }
+    }
+
+    /// Creates the answer to a request of which no part was run or planned.
+    pub fn not_run() -> Answer {
+        let coverage = Coverage { total: 0, answered: 0, missing: Vec::new() };
+        Answer { verdict: Verdict::NotRun, snapshot: None, coverage, hits: Vec::new() }
+    }
+}
+
+impl Verdict {
+    fn new(coverage: &Coverage, may_have_run: bool) -> Verdict {
+        match (coverage.is_complete(), coverage.answered, may_have_run) {
+            (true, ..) => Verdict::Complete,
+            (false, 1.., _) => Verdict::Partial,
+            (false, 0, true) => Verdict::Unknown,
+            (false, 0, false) => Verdict::NotRun,
+        }
+    }
+}
+
+/// The fate of a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Verdict {
+    /// Every shard answered.
+    Complete,
+    /// Some shards answered; the coverage says which did not.
+    Partial,
+    /// No server ran any part of the request.
+    NotRun,
+    /// No shard answered, and some server may have run a part of the request.
+    Unknown,
+}
--- /dev/null
+++ b/crates/core/src/query/mod.rs
@@ -0,0 +1,27 @@
+//! The life of one request at its entry: attempts, hedges, retries, and the answer.
+
+mod action;
+mod answer;
+mod attempt;
+mod coverage;
+mod ending;
+mod hit;
+mod merge;
+mod missing;
+mod plan;
+mod run;
+mod target;
+
+pub use self::{
+    action::Action,
+    answer::{Answer, Verdict},
+    attempt::Attempt,
+    coverage::{Coverage, Gap},
+    ending::Ending,
+    hit::Hit,
+    merge::merge,
+    missing::Missing,
+    plan::Plan,
+    run::Run,
+    target::{Route, Target},
+};
--- /dev/null
+++ b/crates/core/src/query/run.rs
@@ -0,0 +1,389 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::{Action, Attempt, Coverage, Ending, Gap, Missing, Plan, Route, Target};
+use crate::{
+    name::Name,
+    outcome::{Failure, Outcome, Refusal, Reply},
+    retry::Budget,
+    time::Time,
+};
+
+/// Attempts at one shard, hedges included.
+const MAX_ATTEMPTS: usize = 4;
+
+/// Servers whose crashes convict the content of a request.
+const CONVICTING_CRASHES: usize = 2;
+
+/// The part of the shards, as a divisor, that must lack the snapshot for a restart.
+const RESTART_DIVISOR: usize = 4;
+
+/// One request at its entry, from the plan to the ending.
+#[derive(Clone, Debug)]
+pub struct Run {
+    plan: Plan,
+    legs: Vec<Leg>,
+    attempts: BTreeMap<u32, Flight>,
+    next_attempt: u32,
+    started: Option<Time>,
+    released: bool,
+    crashed: BTreeSet<Name>,
+    newer: Option<u64>,
+    may_have_run: bool,
+    ended: bool,
+}
+
+/// The work for one shard.
+#[derive(Clone, Debug)]
+struct Leg {
+    target: Target,
+    tried: Vec<Route>,
+    last_sent: Option<Time>,
+    reply: Option<Reply>,
+    missing: Option<Missing>,
+    lacks_snapshot: bool,
+}
+
+/// An attempt that has not come to its end.
+#[derive(Clone, Debug)]
+struct Flight {
+    leg: usize,
+    server: Name,
+    extra: bool,
+}
+
+impl Run {
+    /// Creates the run of a plan. Nothing is sent before [`Run::start`].
+    pub fn new(plan: Plan) -> Run {
+        let legs = plan.targets.iter().cloned().map(Leg::new).collect();
+        Run {
+            plan,
+            legs,
+            attempts: BTreeMap::new(),
+            next_attempt: 0,
+            started: None,
+            released: false,
+            crashed: BTreeSet::new(),
+            newer: None,
+            may_have_run: false,
+            ended: false,
+        }
+    }
+
+    /// Sends the first attempts.
+    pub fn start(&mut self, now: Time) -> Vec<Action> {
+        self.started = Some(now);
+        let canaries = self.plan.canaries;
+        let first = if canaries == 0 { self.legs.len() } else { canaries.min(self.legs.len()) };
+        self.released = first == self.legs.len();
+        let mut actions = self.send_first(0..first, now);
+        self.end_if_done(now, &mut actions);
+        actions
+    }
+
+    /// Returns whether the run has come to its end.
+    pub fn has_ended(&self) -> bool {
+        self.ended
+    }
+
+    /// Returns when [`Run::on_time`] must be called next.
+    pub fn wake_at(&self) -> Time {
+        let hedges = self.legs.iter().filter(|it| self.can_hedge(it));
+        let held_since = self.started.filter(|_| !self.released && self.crashed.is_empty());
+        let oldest = hedges.filter_map(|it| it.last_sent).chain(held_since).min();
+        let due = oldest.map(|it| it + self.plan.hedge_after);
+        due.map_or(self.plan.deadline, |it| it.min(self.plan.deadline))
+    }
+
+    /// Takes the outcome of an attempt.
+    pub fn on_outcome(
+        &mut self,
+        id: u32,
+        outcome: Outcome,
+        now: Time,
+        budget: &mut Budget,
+    ) -> Vec<Action> {
+        if self.ended {
+            return Vec::new();
+        }
+        let Some(flight) = self.attempts.remove(&id) else { return Vec::new() };
+        let mut actions = match outcome {
+            Outcome::Served(reply) => self.on_served(&flight, reply, now, budget),
+            Outcome::Refused(refusal) => self.on_refused(&flight, refusal, now, budget),
+            Outcome::Failed(failure) => self.on_failed(&flight, failure, now, budget),
+        };
+        self.end_if_done(now, &mut actions);
+        actions
+    }
+
+    /// Hedges what is late and ends the run at its deadline.
+    pub fn on_time(&mut self, now: Time, budget: &mut Budget) -> Vec<Action> {
+        if self.ended {
+            return Vec::new();
+        }
+        if now >= self.plan.deadline {
+            return self.time_out();
+        }
+        let mut actions = self.hedge(now, budget);
+        actions.extend(self.release(now));
+        self.end_if_done(now, &mut actions);
+        actions
+    }
+
+    /// Drops the request: the caller has gone.
+    pub fn cancel(&mut self) -> Vec<Action> {
+        if self.ended {
+            return Vec::new();
+        }
+        self.ended = true;
+        self.cancel_attempts(|_| true)
+    }
+
+    fn on_served(
+        &mut self,
+        flight: &Flight,
+        reply: Reply,
+        now: Time,
+        budget: &mut Budget,
+    ) -> Vec<Action> {
+        self.may_have_run = true;
+        if reply.snapshot != self.plan.snapshot {
+            return self.on_failed(flight, Failure::BadReply, now, budget);
+        }
+        budget.earn();
+        let leg = &mut self.legs[flight.leg];
+        if leg.reply.is_some() {
+            return Vec::new();
+        }
+        leg.reply = Some(reply);
+        leg.missing = None;
+        let mut actions = self.cancel_attempts(|it| it.leg == flight.leg);
+        actions.extend(self.release(now));
+        actions
+    }
+
+    fn on_refused(
+        &mut self,
+        flight: &Flight,
+        refusal: Refusal,
+        now: Time,
+        budget: &mut Budget,
+    ) -> Vec<Action> {
+        if flight.extra {
+            budget.refund();
+        }
+        if let Refusal::NotHeld(versions) = &refusal {
+            self.legs[flight.leg].lacks_snapshot = true;
+            self.newer = self.newer.max(versions.iter().copied().max());
+        }
+        self.note(flight.leg, Missing::NotRun(refusal));
+        self.retry(flight.leg, now, budget)
+    }
+
+    fn on_failed(
+        &mut self,
+        flight: &Flight,
+        failure: Failure,
+        now: Time,
+        budget: &mut Budget,
+    ) -> Vec<Action> {
+        self.may_have_run = true;
+        self.note(flight.leg, Missing::Unknown(failure));
+        if failure == Failure::Crashed {
+            self.crashed.insert(flight.server.clone());
+            if self.crashed.len() >= CONVICTING_CRASHES {
+                return self.convict();
+            }
+        }
+        if !self.plan.idempotent {
+            return Vec::new();
+        }
+        self.retry(flight.leg, now, budget)
+    }
+
+    /// Records why a leg has no reply. A possible run is never overwritten by a refusal.
+    fn note(&mut self, leg: usize, missing: Missing) {
+        let leg = &mut self.legs[leg];
+        if leg.reply.is_some() {
+            return;
+        }
+        let known_run = leg.missing.as_ref().is_some_and(|it| !it.is_not_run());
+        if known_run && missing.is_not_run() {
+            return;
+        }
+        leg.missing = Some(missing);
+    }
+
+    fn retry(&mut self, leg: usize, now: Time, budget: &mut Budget) -> Vec<Action> {
+        let is_open = self.legs[leg].reply.is_none();
+        let in_flight = self.attempts.values().any(|it| it.leg == leg);
+        if !is_open || in_flight || now >= self.plan.deadline {
+            return Vec::new();
+        }
+        if self.legs[leg].next_route().is_none() || !budget.spend() {
+            return Vec::new();
+        }
+        self.send(leg, true, now).into_iter().collect()
+    }
+
+    fn hedge(&mut self, now: Time, budget: &mut Budget) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for leg in 0..self.legs.len() {
+            if !self.can_hedge(&self.legs[leg]) {
+                continue;
+            }
+            let due = self.legs[leg].last_sent.is_some_and(|it| it + self.plan.hedge_after <= now);
+            if !due {
+                continue;
+            }
+            if budget.spend() {
+                actions.extend(self.send(leg, true, now));
+            } else {
+                self.legs[leg].last_sent = Some(now);
+            }
+        }
+        actions
+    }
+
+    fn can_hedge(&self, leg: &Leg) -> bool {
+        self.plan.idempotent
+            && self.crashed.is_empty()
+            && leg.reply.is_none()
+            && leg.last_sent.is_some()
+            && leg.next_route().is_some()
+    }
+
+    /// Sends the first attempts of the legs that waited for the canaries.
+    fn release(&mut self, now: Time) -> Vec<Action> {
+        if self.released {
+            return Vec::new();
+        }
+        let served = self.legs.iter().any(|it| it.reply.is_some());
+        let waited = self.started.is_some_and(|it| it + self.plan.hedge_after <= now);
+        let harmless = self.crashed.is_empty() && (waited || self.attempts.is_empty());
+        if !served && !harmless {
+            return Vec::new();
+        }
+        self.released = true;
+        self.send_first(0..self.legs.len(), now)
+    }
+
+    fn send_first(&mut self, legs: std::ops::Range<usize>, now: Time) -> Vec<Action> {
+        let unsent: Vec<_> = legs
+            .filter(|it| self.legs[*it].tried.is_empty() && !self.legs[*it].is_done())
+            .collect();
+        unsent.into_iter().filter_map(|it| self.send(it, false, now)).collect()
+    }
+
+    fn send(&mut self, leg: usize, extra: bool, now: Time) -> Option<Action> {
+        let Some(route) = self.legs[leg].next_route().cloned() else {
+            self.note(leg, Missing::NoReplica);
+            return None;
+        };
+        let id = self.next_attempt;
+        self.next_attempt += 1;
+        self.legs[leg].tried.push(route.clone());
+        self.legs[leg].last_sent = Some(now);
+        self.attempts.insert(id, Flight { leg, server: route.server.clone(), extra });
+        let shard = self.legs[leg].target.shard.clone();
+        Some(Action::Send(Attempt { id, shard, route, deadline: self.plan.deadline }))
+    }
+
+    fn cancel_attempts(&mut self, matches: impl Fn(&Flight) -> bool) -> Vec<Action> {
+        let ids: Vec<_> =
+            self.attempts.iter().filter(|(_, it)| matches(it)).map(|(id, _)| *id).collect();
+        for id in &ids {
+            self.attempts.remove(id);
+        }
+        ids.into_iter().map(Action::Cancel).collect()
+    }
+
+    fn time_out(&mut self) -> Vec<Action> {
+        let waiting: Vec<_> = self.attempts.values().map(|it| it.leg).collect();
+        for leg in waiting {
+            self.note(leg, Missing::Unknown(Failure::TimedOut));
+            self.may_have_run = true;
+        }
+        let mut actions = self.cancel_attempts(|_| true);
+        actions.push(self.settle());
+        actions
+    }
+
+    fn convict(&mut self) -> Vec<Action> {
+        self.ended = true;
+        let mut actions = self.cancel_attempts(|_| true);
+        let servers = self.crashed.iter().cloned().collect();
+        actions.push(Action::End(Ending::Quarantine { servers }));
+        actions
+    }
+
+    fn end_if_done(&mut self, now: Time, actions: &mut Vec<Action>) {
+        if self.ended || !self.attempts.is_empty() {
+            return;
+        }
+        actions.extend(self.release(now));
+        if !self.attempts.is_empty() {
+            return;
+        }
+        if let Some(version) = self.restart_version() {
+            self.ended = true;
+            actions.push(Action::End(Ending::Restart { version }));
+            return;
+        }
+        actions.push(self.settle());
+    }
+
+    fn restart_version(&self) -> Option<u64> {
+        let version = self.newer.filter(|it| *it > self.plan.snapshot)?;
+        let lacking = self.legs.iter().filter(|it| it.reply.is_none() && it.lacks_snapshot).count();
+        let enough = lacking * RESTART_DIVISOR >= self.legs.len();
+        let harmless = self.plan.idempotent || !self.may_have_run;
+        (self.plan.may_restart && enough && harmless).then_some(version)
+    }
+
+    fn settle(&mut self) -> Action {
+        self.ended = true;
+        let total = self.legs.len();
+        let mut replies = Vec::new();
+        let mut missing = Vec::new();
+        for leg in self.legs.drain(..) {
+            match leg.reply {
+                Some(reply) => replies.push((leg.target.shard, reply)),
+                None => {
+                    let reason = leg.missing.unwrap_or(Missing::NotRun(Refusal::Expired));
+                    missing.push(Gap { shard: leg.target.shard, reason });
+                }
+            }
+        }
+        let coverage = Coverage { total, answered: replies.len(), missing };
+        Action::End(Ending::Settled { replies, coverage, may_have_run: self.may_have_run })
+    }
+}
+
+impl Leg {
+    fn new(target: Target) -> Leg {
+        Leg {
+            target,
+            tried: Vec::new(),
+            last_sent: None,
+            reply: None,
+            missing: None,
+            lacks_snapshot: false,
+        }
+    }
+
+    fn is_done(&self) -> bool {
+        self.reply.is_some() || self.missing.is_some()
+    }
+
+    /// Returns the best route whose server was not tried, while attempts are left.
+    fn next_route(&self) -> Option<&Route> {
+        if self.tried.len() >= MAX_ATTEMPTS {
+            return None;
+        }
+        self.target.routes.iter().find(|it| !self.was_tried(it))
+    }
+
+    fn was_tried(&self, route: &Route) -> bool {
+        self.tried.iter().any(|it| it.server == route.server)
+    }
+}
--- /dev/null
+++ b/crates/core/src/retry/latency.rs
@@ -0,0 +1,60 @@
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+use crate::time::Time;
+
+/// How long samples are gathered before the window turns.
+const WINDOW: Duration = Duration::from_secs(10);
+
+/// Samples that a quantile needs.
+const MIN_SAMPLES: u64 = 50;
+
+/// The largest latency that is told apart, in microseconds.
+const MAX_MICROS: u64 = 60_000_000;
+
+/// Latencies of the last one to two windows.
+#[derive(Clone, Debug)]
+pub struct Latency {
+    current: Histogram<u32>,
+    previous: Histogram<u32>,
+    turned: Time,
+}
+
+impl Latency {
+    /// Creates an empty record.
+    pub fn new() -> Latency {
+        let empty = Histogram::new_with_bounds(1, MAX_MICROS, 2).expect("bounds are valid");
+        Latency { current: empty.clone(), previous: empty, turned: Time::ZERO }
+    }
+
+    /// Adds a sample.
+    pub fn record(&mut self, latency: Duration, now: Time) {
+        if now.since(self.turned) >= WINDOW {
+            self.turned = now;
+            std::mem::swap(&mut self.current, &mut self.previous);
+            self.current.reset();
+        }
+        self.current.saturating_record(latency.as_micros() as u64);
+    }
+
+    /// Returns a quantile, or nothing while there are too few samples.
+    pub fn quantile(&self, quantile: f64) -> Option<Duration> {
+        let (fuller, other) = if self.current.len() >= MIN_SAMPLES {
+            (&self.current, &self.previous)
+        } else {
+            (&self.previous, &self.current)
+        };
+        if fuller.len() + other.len() < MIN_SAMPLES {
+            return None;
+        }
+        let source = if fuller.len() >= MIN_SAMPLES { fuller } else { other };
+        Some(Duration::from_micros(source.value_at_quantile(quantile)))
+    }
+}
+
+impl Default for Latency {
+    fn default() -> Latency {
+        Latency::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/route/distance.rs
@@ -0,0 +1,23 @@
+use std::time::Duration;
+
+/// What a round trip costs beyond the data centre that the entry stands in.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Distance {
+    /// To another data centre of the same region.
+    pub data_centre: Duration,
+    /// To another region.
+    pub region: Duration,
+}
+
+impl Distance {
+    /// Creates the default distances.
+    pub fn new() -> Distance {
+        Distance { data_centre: Duration::from_millis(2), region: Duration::from_millis(40) }
+    }
+}
+
+impl Default for Distance {
+    fn default() -> Distance {
+        Distance::new()
+    }
+}
--- /dev/null
+++ b/crates/core/src/wire/sub.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+
+use crate::name::Name;
+
+/// One sub-request of a call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Sub {
+    /// The number of the attempt within its query.
+    pub attempt: u32,
+    /// The server to run it on.
+    pub server: Name,
+    /// The shard to search.
+    pub shard: Name,
+}
--- /dev/null
+++ b/crates/node/src/backend/client.rs
@@ -0,0 +1,161 @@
+use std::{net::SocketAddr, time::Duration};
+
+use mimosabridge::{
+    backend::{DEADLINE_MS, Health, REQUEST_ID, Reason, Refused, Reply, SNAPSHOT, TRACE_PARENT},
+    gate::End,
+    outcome::{self, Failure, Outcome, Refusal},
+};
+use reqwest::{RequestBuilder, StatusCode};
+use snafu::{ResultExt, Snafu};
+
+use super::Request;
+
+/// How long a connection may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long a server may take to tell its health.
+const HEALTH_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How long after its deadline an unanswered request may keep its connection.
+const LINGER: Duration = Duration::from_secs(5);
+
+/// How long an idle connection is kept: opening one costs more than keeping it.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
+
+/// The HTTP client of one server.
+#[derive(Clone, Debug)]
+pub struct Client {
+    address: SocketAddr,
+    idle: usize,
+    work: reqwest::Client,
+    probe: reqwest::Client,
+}
+
+/// A server did not tell its health.
+#[derive(Debug, Snafu)]
+pub struct HealthError {
+    source: reqwest::Error,
+}
+
+impl Client {
+    /// Creates a client that keeps at most `idle` connections for work.
+    pub fn new(address: SocketAddr, idle: usize) -> Client {
+        Client { address, idle, work: build(idle), probe: build(0) }
+    }
+
+    /// Returns where the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Leaves all idle connections behind. Requests that are under way keep theirs.
+    pub fn renew(&mut self) {
+        self.work = build(self.idle);
+    }
+
+    /// Sends a search and returns how it ended.
+    pub async fn search(&self, request: Request) -> End {
+        let url = format!("http://{}/shards/{}/search", self.address, request.shard);
+        let mut builder = self
+            .work
+            .post(url)
+            .timeout(request.budget + LINGER)
+            .header(REQUEST_ID, &request.id)
+            .header(DEADLINE_MS, request.budget.as_millis().max(1) as u64)
+            .header(SNAPSHOT, request.snapshot);
+        if let Some(trace) = &request.trace {
+            builder = builder.header(TRACE_PARENT, trace);
+        }
+        let id = request.id;
+        exchange(builder.body(request.query.get().to_owned()), &id).await
+    }
+
+    /// Tells the server that a request is of no more use.
+    pub async fn cancel(&self, id: &str) {
+        let url = format!("http://{}/requests/{id}", self.address);
+        // The server stops at the deadline anyway if this does not reach it.
+        let _ = self.work.delete(url).timeout(HEALTH_TIMEOUT).send().await;
+    }
+
+    /// Asks the server for its health, over a new connection.
+    pub async fn health(&self) -> Result<Health, HealthError> {
+        let url = format!("http://{}/health", self.address);
+        let response = self.probe.get(url).timeout(HEALTH_TIMEOUT).send().await;
+        let response = response.and_then(|it| it.error_for_status()).context(HealthSnafu)?;
+        response.json().await.context(HealthSnafu)
+    }
+}
+
+fn build(idle: usize) -> reqwest::Client {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .http1_only()
+        .no_proxy()
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .pool_max_idle_per_host(idle)
+        .retry(reqwest::retry::never())
+        .tcp_nodelay(true)
+        .build()
+        .expect("a client without TLS needs nothing of the system")
+}
+
+async fn exchange(builder: RequestBuilder, id: &str) -> End {
+    let response = match builder.send().await {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return refused(Refusal::Unreachable),
+        Err(error) if error.is_timeout() => return failed(Failure::TimedOut),
+        Err(_) => return failed(Failure::Broken),
+    };
+    let status = response.status();
+    let body = match response.bytes().await {
+        Ok(body) => body,
+        Err(error) if error.is_timeout() => return failed(Failure::TimedOut),
+        Err(_) => return failed(Failure::Broken),
+    };
+    match status {
+        StatusCode::OK => read_reply(&body, id),
+        StatusCode::SERVICE_UNAVAILABLE => read_refusal(&body, id),
+        StatusCode::REQUEST_TIMEOUT => failed(Failure::Cancelled),
+        _ => failed(Failure::ServerError),
+    }
+}
+
+fn read_reply(body: &[u8], id: &str) -> End {
+    let Ok(reply) = serde_json::from_slice::<Reply>(body) else {
+        return failed(Failure::BadReply);
+    };
+    if reply.request_id != id {
+        return failed(Failure::BadReply);
+    }
+    let outcome = Outcome::Served(outcome::Reply {
+        snapshot: reply.snapshot,
+        holds: reply.holds,
+        hits: reply.hits,
+    });
+    End { outcome, report: Some(reply.server) }
+}
+
+/// Reads a refusal. One that cannot be read proves nothing, so its fate is unknown.
+fn read_refusal(body: &[u8], id: &str) -> End {
+    let Ok(refused) = serde_json::from_slice::<Refused>(body) else {
+        return failed(Failure::ServerError);
+    };
+    if refused.request_id != id {
+        return failed(Failure::BadReply);
+    }
+    let refusal = match refused.reason {
+        Reason::Shed => Refusal::Shed,
+        Reason::Leaving => Refusal::ServerLeaving,
+        Reason::NotHeld => Refusal::NotHeld(refused.holds),
+        Reason::Expired => Refusal::Expired,
+    };
+    End { outcome: Outcome::Refused(refusal), report: Some(refused.server) }
+}
+
+fn refused(refusal: Refusal) -> End {
+    End { outcome: Outcome::Refused(refusal), report: None }
+}
+
+fn failed(failure: Failure) -> End {
+    End { outcome: Outcome::Failed(failure), report: None }
+}
--- /dev/null
+++ b/crates/node/src/backend/mod.rs
@@ -0,0 +1,6 @@
+//! HTTP towards backend servers.
+
+mod client;
+mod request;
+
+pub use self::{client::Client, request::Request};
--- /dev/null
+++ b/crates/node/src/bin/mimosabridge-entry.rs
@@ -0,0 +1,9 @@
+//! Runs an entry, which takes callers.
+
+use std::process;
+
+use mimosabridge_node::node::{self, Role};
+
+fn main() -> process::ExitCode {
+    node::main("mimosabridge-entry", &[Role::Entry])
+}
--- /dev/null
+++ b/crates/node/src/entry/link.rs
@@ -0,0 +1,159 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jsonrpsee::{
+    core::client::{Error, Subscription},
+    ws_client::{WsClient, WsClientBuilder},
+};
+use mimosabridge::{
+    name::Name,
+    outcome::{Failure, Hint, Outcome, Refusal},
+    wire::{Call, Item},
+};
+use tokio::{
+    sync::{Mutex, mpsc},
+    time::timeout,
+};
+
+use crate::{
+    events,
+    gate::{GateClient, MAX_MESSAGE},
+};
+
+/// How long a connection to a gate may take to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a connection may be silent while an answer is due before it is probed.
+const SILENCE: Duration = Duration::from_millis(250);
+
+/// How long a gate may take to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Items that may wait for one call.
+const ITEM_BUFFER: usize = 16_384;
+
+/// Calls that may wait for their acknowledgement on one connection.
+const MAX_CALLS: usize = 100_000;
+
+/// The connection of an entry to one gate. It opens when it is first used.
+#[derive(Debug)]
+pub struct Link {
+    gate: Name,
+    address: SocketAddr,
+    client: Mutex<Option<Arc<WsClient>>>,
+}
+
+/// The fate of an attempt, as the link saw it.
+pub type Fate = (u32, Outcome, Option<Hint>);
+
+impl Link {
+    /// Creates a link that is not yet connected.
+    pub fn new(gate: Name, address: SocketAddr) -> Link {
+        Link { gate, address, client: Mutex::new(None) }
+    }
+
+    /// Returns where the gate takes calls.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Makes a call and sends the fate of each of its attempts, exactly one for each.
+    pub async fn call(&self, call: Call, fates: mpsc::UnboundedSender<Fate>) {
+        let mut waiting: Vec<u32> = call.subs.iter().map(|it| it.attempt).collect();
+        let lost = self.exchange(call, &mut waiting, &fates).await;
+        for attempt in waiting {
+            let _ = fates.send((attempt, lost.clone(), None));
+        }
+    }
+
+    /// Drops some attempts of a call, or all if none are named.
+    pub async fn cancel(&self, call: u64, attempts: Vec<u32>) {
+        let client = self.client.lock().await.clone();
+        let Some(client) = client else { return };
+        // If this is lost, the attempts end at their deadline.
+        let _ = timeout(PROBE_TIMEOUT, client.cancel(call, attempts)).await;
+    }
+
+    /// Makes a call, and returns the outcome of the attempts that are left in `waiting`.
+    async fn exchange(
+        &self,
+        call: Call,
+        waiting: &mut Vec<u32>,
+        fates: &mpsc::UnboundedSender<Fate>,
+    ) -> Outcome {
+        let Some(client) = self.connect().await else {
+            return Outcome::Refused(Refusal::GateUnreachable);
+        };
+        let lost = Outcome::Failed(Failure::GateLost);
+        let mut items = match timeout(SILENCE, client.run(call)).await {
+            Ok(Ok(items)) => items,
+            Ok(Err(Error::Call(_))) => return Outcome::Refused(Refusal::GateLeaving),
+            Ok(Err(_)) | Err(_) => {
+                self.disconnect(&client).await;
+                return lost;
+            }
+        };
+        while !waiting.is_empty() {
+            let Some(batch) = self.next(&client, &mut items).await else { return lost };
+            for item in batch {
+                waiting.retain(|it| *it != item.attempt);
+                if fates.send((item.attempt, item.outcome, Some(item.hint))).is_err() {
+                    return lost;
+                }
+            }
+        }
+        lost
+    }
+
+    /// Returns the next items of a call, or nothing if the gate is lost.
+    async fn next(
+        &self,
+        client: &Arc<WsClient>,
+        items: &mut Subscription<Vec<Item>>,
+    ) -> Option<Vec<Item>> {
+        loop {
+            if let Ok(batch) = timeout(SILENCE, items.next()).await {
+                return batch?.ok();
+            }
+            if !matches!(timeout(PROBE_TIMEOUT, client.ping()).await, Ok(Ok(()))) {
+                self.disconnect(client).await;
+                return None;
+            }
+        }
+    }
+
+    async fn connect(&self) -> Option<Arc<WsClient>> {
+        let mut slot = self.client.lock().await;
+        if let Some(client) = slot.as_ref().filter(|it| it.is_connected()) {
+            return Some(client.clone());
+        }
+        let url = format!("ws://{}", self.address);
+        let client = WsClientBuilder::new()
+            .connection_timeout(CONNECT_TIMEOUT)
+            .max_buffer_capacity_per_subscription(ITEM_BUFFER)
+            .max_concurrent_requests(MAX_CALLS)
+            .max_request_size(MAX_MESSAGE)
+            .max_response_size(MAX_MESSAGE)
+            .set_tcp_no_delay(true)
+            .build(url)
+            .await;
+        match client {
+            Ok(client) => {
+                events::GATE_CONNECTED.emit(&[("gate", &self.gate), ("address", &self.address)]);
+                *slot = Some(Arc::new(client));
+            }
+            Err(error) => {
+                events::GATE_LOST.emit(&[("gate", &self.gate), ("reason", &error)]);
+                *slot = None;
+            }
+        }
+        slot.clone()
+    }
+
+    async fn disconnect(&self, client: &Arc<WsClient>) {
+        let mut slot = self.client.lock().await;
+        if slot.as_ref().is_some_and(|it| Arc::ptr_eq(it, client)) {
+            events::GATE_LOST.emit(&[("gate", &self.gate), ("reason", &"silent")]);
+            *slot = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/events/mod.rs
@@ -0,0 +1,36 @@
+//! The numbered events of the log. `docs/EVENTS.md` is their catalogue.
+
+use log::Level;
+use mimosabridge_cli::Event;
+
+/// A node has started.
+pub const NODE_STARTED: Event = Event::new(1001, Level::Info, "node started");
+/// A node has begun a planned stop.
+pub const NODE_STOPPING: Event = Event::new(1002, Level::Info, "node stopping");
+/// A node has finished its work and ends.
+pub const NODE_STOPPED: Event = Event::new(1003, Level::Info, "node stopped");
+/// The connection to a gate was opened.
+pub const GATE_CONNECTED: Event = Event::new(2001, Level::Info, "connected to gate");
+/// A gate could not be reached, or the connection to it was lost.
+pub const GATE_LOST: Event = Event::new(2002, Level::Warn, "gate not reached");
+/// A configuration is in force.
+pub const CONFIG_ACCEPTED: Event = Event::new(3001, Level::Info, "configuration in force");
+/// A configuration was refused because it is inconsistent.
+pub const CONFIG_INVALID: Event = Event::new(3002, Level::Error, "configuration is inconsistent");
+/// A configuration was refused because it does not follow the one that stands.
+pub const CONFIG_CONFLICT: Event = Event::new(3003, Level::Error, "configuration conflicts");
+/// The platform's configuration service did not answer.
+pub const PLATFORM_LOST: Event = Event::new(3004, Level::Warn, "platform not reached");
+
+/// All events, by number.
+pub const ALL: &[Event] = &[
+    NODE_STARTED,
+    NODE_STOPPING,
+    NODE_STOPPED,
+    GATE_CONNECTED,
+    GATE_LOST,
+    CONFIG_ACCEPTED,
+    CONFIG_INVALID,
+    CONFIG_CONFLICT,
+    PLATFORM_LOST,
+];
--- /dev/null
+++ b/crates/standin/src/bin/mimosabridge-platform.rs
@@ -0,0 +1,52 @@
+//! Runs the modelled platform: `mimosabridge-platform --listen 127.0.0.1:9900`.
+
+use std::{fs, net::SocketAddr, path::Path, process};
+
+use mimosabridge_cli::{ExitCode, Fault, Options};
+use mimosabridge_standin::platform::{Platform, Store};
+use snafu::ResultExt;
+
+const USAGE: &str = "\
+Runs the modelled platform: a configuration service and a list of VMs.
+
+  --listen IP:PORT       where the platform listens (required)
+  --load DIR             publish the files of a directory, each under its name
+  --help                 this text";
+
+fn main() -> process::ExitCode {
+    mimosabridge_cli::init_log();
+    mimosabridge_cli::run("mimosabridge-platform", start())
+}
+
+fn start() -> Result<ExitCode, Fault> {
+    let mut options = Options::from_process();
+    if options.flag("--help") {
+        println!("{USAGE}");
+        return Ok(ExitCode::Success);
+    }
+    let listen = options.required("--listen", SocketAddr::from(([127, 0, 0, 1], 0)));
+    let load: Option<String> = options.optional("--load");
+    options.finish()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.whatever_context("cannot start the runtime")?.block_on(run(listen, load))
+}
+
+async fn run(listen: SocketAddr, load: Option<String>) -> Result<ExitCode, Fault> {
+    let platform = Platform::start(listen).await;
+    let platform = platform.with_whatever_context(|_| format!("cannot listen on {listen}"))?;
+    if let Some(directory) = load {
+        publish(platform.store(), Path::new(&directory))
+            .with_whatever_context(|_| format!("cannot read the directory {directory}"))?;
+    }
+    platform.run().await;
+    Ok(ExitCode::Success)
+}
+
+fn publish(store: &Store, directory: &Path) -> std::io::Result<()> {
+    for entry in fs::read_dir(directory)? {
+        let entry = entry?;
+        let value = fs::read_to_string(entry.path())?;
+        store.put(&entry.file_name().to_string_lossy(), value);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/platform/store.rs
@@ -0,0 +1,115 @@
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+};
+
+use tokio::sync::watch;
+
+use super::{Entry, Vm};
+
+/// The most bytes of a value.
+pub const MAX_VALUE: usize = 1_000_000;
+
+/// What the platform holds, and the faults that are switched on.
+#[derive(Debug)]
+pub struct Store {
+    entries: Mutex<BTreeMap<String, Entry>>,
+    stale: Mutex<Option<BTreeMap<String, Entry>>>,
+    vms: Mutex<Vec<Vm>>,
+    changed: watch::Sender<u64>,
+    reads: AtomicU64,
+    down: AtomicBool,
+}
+
+impl Store {
+    /// Creates an empty store.
+    pub fn new() -> Store {
+        Store {
+            entries: Mutex::default(),
+            stale: Mutex::default(),
+            vms: Mutex::default(),
+            changed: watch::Sender::new(0),
+            reads: AtomicU64::new(0),
+            down: AtomicBool::new(false),
+        }
+    }
+
+    /// Writes a value, as an operator. Returns whether it is small enough.
+    pub fn put(&self, key: &str, value: String) -> bool {
+        if value.len() > MAX_VALUE {
+            return false;
+        }
+        let mut entries = lock(&self.entries);
+        let revision = entries.get(key).map_or(0, |it| it.revision) + 1;
+        entries.insert(key.to_owned(), Entry { revision, value });
+        drop(entries);
+        self.changed.send_modify(|it| *it += 1);
+        true
+    }
+
+    /// Reads a value, and counts the read.
+    pub fn get(&self, key: &str) -> Option<Entry> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.peek(key)
+    }
+
+    /// Reads a value without counting.
+    pub fn peek(&self, key: &str) -> Option<Entry> {
+        let stale = lock(&self.stale);
+        match &*stale {
+            Some(entries) => entries.get(key).cloned(),
+            None => lock(&self.entries).get(key).cloned(),
+        }
+    }
+
+    /// Replaces the list of VMs.
+    pub fn set_vms(&self, vms: Vec<Vm>) {
+        *lock(&self.vms) = vms;
+    }
+
+    /// Returns the list of VMs, and counts the read.
+    pub fn vms(&self) -> Vec<Vm> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        lock(&self.vms).clone()
+    }
+
+    /// Returns the number of reads and watches so far.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::Relaxed)
+    }
+
+    /// Switches the service off or on.
+    pub fn set_down(&self, down: bool) {
+        self.down.store(down, Ordering::Relaxed);
+    }
+
+    /// Returns whether the service is switched off.
+    pub fn is_down(&self) -> bool {
+        self.down.load(Ordering::Relaxed)
+    }
+
+    /// Freezes what readers see, or shows them the truth again.
+    pub fn set_stale(&self, stale: bool) {
+        let frozen = stale.then(|| lock(&self.entries).clone());
+        *lock(&self.stale) = frozen;
+        self.changed.send_modify(|it| *it += 1);
+    }
+
+    /// Returns a receiver that is told of every write.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+}
+
+impl Default for Store {
+    fn default() -> Store {
+        Store::new()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
--- /dev/null
+++ b/crates/tools/src/lib.rs
@@ -0,0 +1,3 @@
+//! Tools for operators, callers and measurement.
+
+pub mod config;
