--- a/crates/core/src/config/chain.rs
+++ b/crates/core/src/config/chain.rs
@@ -112,6 +112,12 @@
         Verdict::Waiting
     }
 
+    /// Accepts the candidate at once if it has the stamp, because it is in force on another node.
+    pub fn promote(&mut self, stamp: Stamp) -> Option<Arc<Bundle>> {
+        let candidate = self.candidate.take_if(|it| it.bundle.stamp == stamp)?;
+        Some(self.accept(candidate.bundle))
+    }
+
     /// Accepts the candidate once it has settled, and returns it.
     pub fn tick(&mut self, now: Time) -> Option<Arc<Bundle>> {
         let since = self.candidate.as_ref()?.since;
--- a/crates/core/src/config/change.rs
+++ b/crates/core/src/config/change.rs
@@ -33,6 +33,16 @@
         set
     }
 
+    /// Returns the number of objects that the change touches.
+    pub fn len(&self) -> usize {
+        self.put.len() + self.remove.len()
+    }
+
+    /// Returns whether the change touches no object.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns the change that leads from `old` to `new`.
     pub fn between(old: &Set, new: &Set) -> Change {
         Change { put: new.differing_from(old), remove: new.missing_from(old) }
--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -10,6 +10,7 @@
 mod document;
 mod finding;
 mod head;
+mod history;
 mod kind;
 mod place;
 mod rule;
@@ -31,6 +32,7 @@
     document::{Document, Lines, ParseError},
     finding::Finding,
     head::Head,
+    history::{History, Step},
     kind::Kind,
     place::Place,
     rule::Rule,
--- a/crates/core/src/config/rule.rs
+++ b/crates/core/src/config/rule.rs
@@ -22,6 +22,10 @@
     /// The latency quantile after which a missing shard is asked again elsewhere, in `(0, 1)`.
     #[serde(default = "default_hedge_quantile")]
     pub hedge_quantile: f64,
+    /// The number of shards above which a content that is new to the entry is first tried on one
+    /// shard, to learn whether it crashes servers.
+    #[serde(default = "default_canary_over")]
+    pub canary_over: usize,
     /// Whether hits with the same key from several shards are merged into one.
     #[serde(default)]
     pub deduplicate: bool,
@@ -41,6 +45,10 @@
     0.95
 }
 
+fn default_canary_over() -> usize {
+    16
+}
+
 fn default_max_hits() -> usize {
     1_000
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,15 +5,20 @@
 //! except from a seeded generator that is passed in. The daemons of this project drive the parts;
 //! other programs can embed them in the same way.
 
+pub mod admission;
 pub mod backend;
 pub mod config;
 pub mod fingerprint;
 pub mod gate;
+pub mod member;
 pub mod name;
 pub mod outcome;
 pub mod place;
+pub mod quarantine;
 pub mod query;
 pub mod retry;
 pub mod route;
+pub mod snapshot;
+pub mod ticket;
 pub mod time;
 pub mod wire;
--- /dev/null
+++ b/crates/core/src/member/mod.rs
@@ -0,0 +1,27 @@
+//! Which nodes are alive, and the news that they tell one another.
+//!
+//! A [`Peer`] probes one other node each round, asks two others to probe a node that does not
+//! answer, and suspects a node before it declares it dead. News travels on the probes; urgent news
+//! is also pushed on at once. Every packet has a bounded size, whatever the size of the fleet.
+
+mod action;
+mod detector;
+mod news;
+mod outbox;
+mod packet;
+mod peer;
+mod record;
+mod roster;
+mod settings;
+
+pub use self::{
+    action::Action,
+    detector::Detector,
+    news::News,
+    outbox::Outbox,
+    packet::{Kind, Packet},
+    peer::Peer,
+    record::{Incarnation, Record, Roles, State},
+    roster::Roster,
+    settings::Settings,
+};
--- /dev/null
+++ b/crates/core/src/member/news.rs
@@ -0,0 +1,52 @@
+use serde::{Deserialize, Serialize};
+
+use super::Record;
+use crate::{config::Stamp, fingerprint::Fingerprint, name::Name};
+
+/// Something that every node should know.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum News {
+    /// The state of a node.
+    Member(Record),
+    /// A configuration is in force on some node, or a candidate there.
+    Config {
+        /// Which configuration.
+        stamp: Stamp,
+        /// Whether it is in force.
+        in_force: bool,
+    },
+    /// A backend server was seen leaving.
+    Leaving {
+        /// The server.
+        server: Name,
+        /// Increases each time the server is seen leaving again.
+        round: u32,
+    },
+    /// A backend server crashed while it ran a request.
+    Crash {
+        /// The content of the request.
+        fingerprint: Fingerprint,
+        /// The server.
+        server: Name,
+    },
+}
+
+impl News {
+    /// Returns whether the news must not wait for the next round.
+    pub fn is_urgent(&self) -> bool {
+        match self {
+            News::Member(record) => record.state == super::State::Leaving,
+            News::Config { .. } | News::Leaving { .. } | News::Crash { .. } => true,
+        }
+    }
+
+    /// Returns whether this news makes `other` superfluous.
+    pub fn replaces(&self, other: &News) -> bool {
+        match (self, other) {
+            (News::Member(new), News::Member(old)) => new.name == old.name,
+            (News::Config { .. }, News::Config { .. }) => true,
+            (News::Leaving { server: new, .. }, News::Leaving { server: old, .. }) => new == old,
+            _ => self == other,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/member/roster.rs
@@ -0,0 +1,115 @@
+use std::{
+    collections::BTreeMap,
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+use super::{Record, State};
+use crate::{name::Name, time::Time};
+
+/// Every node that is known, this one included.
+#[derive(Clone, Debug, Default)]
+pub struct Roster {
+    records: BTreeMap<Name, Known>,
+    digest: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    record: Record,
+    since: Time,
+}
+
+impl Roster {
+    /// Creates an empty roster.
+    pub fn new() -> Roster {
+        Roster::default()
+    }
+
+    /// Returns all records, by name.
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values().map(|it| &it.record)
+    }
+
+    /// Returns the record of a node.
+    pub fn get(&self, name: &Name) -> Option<&Record> {
+        self.records.get(name).map(|it| &it.record)
+    }
+
+    /// Returns the node that takes packets at an address.
+    pub fn at(&self, address: SocketAddr) -> Option<&Record> {
+        self.records().find(|it| it.peer == address)
+    }
+
+    /// Returns the number of nodes that are not dead.
+    pub fn live(&self) -> usize {
+        self.records().filter(|it| it.state != State::Dead).count()
+    }
+
+    /// Returns a digest that is equal on nodes with the same beliefs about which nodes live.
+    pub fn digest(&self) -> u32 {
+        self.digest
+    }
+
+    /// Takes a record if it says more than what is known. Returns whether it did.
+    pub fn take(&mut self, record: Record, now: Time) -> bool {
+        let known = self.records.get(&record.name);
+        if known.is_some_and(|it| !record.supersedes(&it.record)) {
+            return false;
+        }
+        if known.is_none() && record.state == State::Dead {
+            return false;
+        }
+        self.digest ^= mark(&record);
+        let old = self.records.insert(record.name.clone(), Known { record, since: now });
+        if let Some(old) = old {
+            self.digest ^= mark(&old.record);
+        }
+        true
+    }
+
+    /// Suspects that have not refuted in time are dead. Returns their new records.
+    pub fn bury(&mut self, suspicion: Duration, now: Time) -> Vec<Record> {
+        let overdue =
+            |it: &&Known| it.record.state == State::Suspect && now.since(it.since) >= suspicion;
+        let dead: Vec<_> = self
+            .records
+            .values()
+            .filter(overdue)
+            .map(|it| Record { state: State::Dead, ..it.record.clone() })
+            .collect();
+        for record in &dead {
+            self.take(record.clone(), now);
+        }
+        dead
+    }
+
+    /// Forgets nodes that have been dead for longer than `memory`.
+    pub fn forget(&mut self, memory: Duration, now: Time) {
+        let is_kept = |it: &Known| it.record.state != State::Dead || now.since(it.since) < memory;
+        // The dead have no part in the digest, so it stays as it is.
+        self.records.retain(|_, it| is_kept(it));
+    }
+
+    /// Starts the time of every suspect anew, because this process slept.
+    pub fn excuse(&mut self, now: Time) {
+        for known in self.records.values_mut().filter(|it| it.record.state == State::Suspect) {
+            known.since = now;
+        }
+    }
+}
+
+/// Returns the part of a record in the digest. Suspicion is left out: it comes and goes.
+fn mark(record: &Record) -> u32 {
+    if record.state == State::Dead {
+        return 0;
+    }
+    let mut hasher = Xxh3Default::new();
+    record.name.hash(&mut hasher);
+    record.incarnation.boot.hash(&mut hasher);
+    (record.state == State::Leaving).hash(&mut hasher);
+    hasher.finish() as u32
+}
--- /dev/null
+++ b/crates/core/src/member/settings.rs
@@ -0,0 +1,50 @@
+use std::time::Duration;
+
+/// Settings of the exchange between nodes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Time between two probes.
+    pub round: Duration,
+    /// How long a probed node may take to answer before others are asked to probe it.
+    pub ack_timeout: Duration,
+    /// Nodes that are asked to probe a node that does not answer.
+    pub helpers: usize,
+    /// How long a suspect may take to refute.
+    pub suspicion: Duration,
+    /// How long a dead node is remembered, so that old news does not revive it.
+    pub memory: Duration,
+    /// Nodes to which urgent news is pushed at once.
+    pub fanout: usize,
+    /// Time without any packet after which this node counts as isolated.
+    pub isolation: Duration,
+    /// One round in this many also probes a node that is believed dead.
+    pub revive_one_in: u32,
+    /// The least time between two exchanges of the whole roster.
+    pub sync_period: Duration,
+    /// Packets with a different roster, in a row, that lead to an exchange of the whole roster.
+    pub sync_after: u32,
+}
+
+impl Settings {
+    /// Creates the default settings.
+    pub fn new() -> Settings {
+        Settings {
+            round: Duration::from_secs(1),
+            ack_timeout: Duration::from_millis(300),
+            helpers: 2,
+            suspicion: Duration::from_secs(4),
+            memory: Duration::from_secs(3_600),
+            fanout: 3,
+            isolation: Duration::from_secs(6),
+            revive_one_in: 4,
+            sync_period: Duration::from_secs(30),
+            sync_after: 12,
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings::new()
+    }
+}
--- a/crates/core/src/outcome/refusal.rs
+++ b/crates/core/src/outcome/refusal.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 /// Why an attempt was not run. Each reason implies that no server started it.
@@ -28,6 +30,46 @@
     GateUnreachable,
     /// The content of the request is quarantined because servers crashed while running it.
     Quarantined,
+    /// The entry has no room for requests of this class.
+    Overloaded,
+    /// No configuration is in force yet, or it has no such rule.
+    NotConfigured,
+    /// The request is not idempotent and came without a ticket.
+    TicketMissing,
+    /// The ticket names another request.
+    TicketTaken,
     /// The gate has no contact with the rest of the system and cannot know whether it may send.
     Isolated,
 }
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Refusal::QueueFull => "the queue of the server is full; try again later",
+            Refusal::Expired => "the deadline passed before the request was sent",
+            Refusal::Cancelled => "the request was cancelled before it was sent",
+            Refusal::ServerLeaving => "the server is leaving",
+            Refusal::DataCentreClosed => "the data centre is taken out",
+            Refusal::NotHeld(_) => "the server does not hold the snapshot",
+            Refusal::Shed => "the server has no room; try again later",
+            Refusal::Unreachable => "the server cannot be reached",
+            Refusal::UnknownServer => "the gate does not know the server",
+            Refusal::GateLeaving => "the gate is stopping",
+            Refusal::GateUnreachable => "the gate cannot be reached",
+            Refusal::Quarantined => {
+                "servers crashed while they ran this content; change the query or wait five minutes"
+            }
+            Refusal::Overloaded => "there is no room for requests of this class; try again later",
+            Refusal::NotConfigured => {
+                "no such rule is configured here; check the name, or wait until the node is ready"
+            }
+            Refusal::TicketMissing => {
+                "a request that is not idempotent needs a ticket; take one with POST /v1/tickets"
+            }
+            Refusal::TicketTaken => {
+                "the ticket names another request; take a new one with POST /v1/tickets"
+            }
+            Refusal::Isolated => "the gate has lost contact with the rest of the system",
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/quarantine/mod.rs
@@ -0,0 +1,5 @@
+//! Requests whose content crashes backend servers.
+
+mod list;
+
+pub use self::list::{CONVICTING_CRASHES, List};
--- a/crates/core/src/query/answer.rs
+++ b/crates/core/src/query/answer.rs
@@ -1,13 +1,22 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Coverage, Hit, merge};
-use crate::{name::Name, outcome::Reply};
+use crate::{
+    name::Name,
+    outcome::{Refusal, Reply},
+};
 
 /// What a caller is told about its request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Answer {
     /// The fate of the request.
     pub verdict: Verdict,
+    /// Why no part of the request was run, if it was turned away as a whole.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refusal: Option<Refusal>,
+    /// The refusal in words, with what to do about it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub message: Option<String>,
     /// The version of the index that every hit was drawn from, if one was pinned.
     pub snapshot: Option<u64>,
     /// How much of that snapshot is covered.
@@ -28,13 +37,23 @@
     ) -> Answer {
         let hits = merge(replies, &mut coverage, deduplicate, max_hits);
         let verdict = Verdict::new(&coverage, may_have_run);
-        Answer { verdict, snapshot: Some(snapshot), coverage, hits }
+        Answer { verdict, refusal: None, message: None, snapshot: Some(snapshot), coverage, hits }
     }
 
-    /// Creates the answer to a request of which no part was run or planned.
-    pub fn not_run() -> Answer {
+    /// Creates the answer to a request that was turned away as a whole.
+    pub fn not_run(refusal: Refusal) -> Answer {
+        let message = Some(refusal.to_string());
+        Answer { refusal: Some(refusal), message, ..Answer::empty(Verdict::NotRun) }
+    }
+
+    /// Creates the answer to a request that may have run, and of whose run nothing is known.
+    pub fn unknown() -> Answer {
+        Answer::empty(Verdict::Unknown)
+    }
+
+    fn empty(verdict: Verdict) -> Answer {
         let coverage = Coverage { total: 0, answered: 0, missing: Vec::new() };
-        Answer { verdict: Verdict::NotRun, snapshot: None, coverage, hits: Vec::new() }
+        Answer { verdict, refusal: None, message: None, snapshot: None, coverage, hits: Vec::new() }
     }
 }
 
--- a/crates/core/src/query/plan.rs
+++ b/crates/core/src/query/plan.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use super::Target;
-use crate::time::Time;
+use crate::{name::Name, time::Time};
 
 /// What a query must reach, and within which bounds.
 #[derive(Clone, Debug)]
@@ -19,6 +19,8 @@
     /// Shards to ask before the others, to learn whether the content crashes servers; zero to
     /// ask all at once.
     pub canaries: usize,
+    /// Servers that crashed earlier while they ran the same content.
+    pub crashed: Vec<Name>,
     /// Whether the query may end with [`super::Ending::Restart`].
     pub may_restart: bool,
 }
--- a/crates/core/src/query/run.rs
+++ b/crates/core/src/query/run.rs
@@ -4,6 +4,7 @@
 use crate::{
     name::Name,
     outcome::{Failure, Outcome, Refusal, Reply},
+    quarantine::CONVICTING_CRASHES,
     retry::Budget,
     time::Time,
 };
@@ -11,9 +12,6 @@
 /// Attempts at one shard, hedges included.
 const MAX_ATTEMPTS: usize = 4;
 
-/// Servers whose crashes convict the content of a request.
-const CONVICTING_CRASHES: usize = 2;
-
 /// The part of the shards, as a divisor, that must lack the snapshot for a restart.
 const RESTART_DIVISOR: usize = 4;
 
@@ -55,6 +53,7 @@
     /// Creates the run of a plan. Nothing is sent before [`Run::start`].
     pub fn new(plan: Plan) -> Run {
         let legs = plan.targets.iter().cloned().map(Leg::new).collect();
+        let crashed = plan.crashed.iter().cloned().collect();
         Run {
             plan,
             legs,
@@ -62,7 +61,7 @@
             next_attempt: 0,
             started: None,
             released: false,
-            crashed: BTreeSet::new(),
+            crashed,
             newer: None,
             may_have_run: false,
             ended: false,
@@ -72,7 +71,11 @@
     /// Sends the first attempts.
     pub fn start(&mut self, now: Time) -> Vec<Action> {
         self.started = Some(now);
-        let canaries = self.plan.canaries;
+        if now >= self.plan.deadline {
+            return vec![self.settle()];
+        }
+        let suspect = usize::from(!self.crashed.is_empty());
+        let canaries = self.plan.canaries.max(suspect);
         let first = if canaries == 0 { self.legs.len() } else { canaries.min(self.legs.len()) };
         self.released = first == self.legs.len();
         let mut actions = self.send_first(0..first, now);
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -9,16 +9,21 @@
 use super::{Distance, Load};
 use crate::{
     config::{Rule, Server, Set, Shard, Snapshot},
+    gate::RANKED_GATES,
     name::Name,
     outcome::{Hint, Trust},
     place::{self, Block},
     query::{Route, Target},
+    snapshot::Holdings,
     time::Time,
 };
 
 /// One pick in this many puts a server that still ramps up first, so that it gains evidence.
 const EXPLORE_ONE_IN: u32 = 16;
 
+/// How long a gate that could not be reached is passed over.
+const GATE_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Chooses, for each shard of a query, the order in which its replicas are tried.
 #[derive(Clone, Debug)]
 pub struct Table {
@@ -27,7 +32,8 @@
     config: Arc<Set>,
     blocks: BTreeMap<Name, Block>,
     gates: BTreeMap<Name, Name>,
-    ranked: HashMap<Block, Name>,
+    ranked: HashMap<Block, Vec<Name>>,
+    lost_gates: HashMap<Name, Time>,
     loads: HashMap<Name, Load>,
     leaving: HashSet<Name>,
 }
@@ -42,6 +48,7 @@
             blocks: BTreeMap::new(),
             gates: BTreeMap::new(),
             ranked: HashMap::new(),
+            lost_gates: HashMap::new(),
             loads: HashMap::new(),
             leaving: HashSet::new(),
         }
@@ -75,9 +82,22 @@
         self.leaving = leaving;
     }
 
-    /// Returns the gate that serves a server, if any gate is alive.
-    pub fn gate_of(&self, server: &Name) -> Option<&Name> {
-        self.ranked.get(self.blocks.get(server)?)
+    /// Takes note that a gate could not be reached.
+    pub fn on_gate_lost(&mut self, gate: &Name, now: Time) {
+        self.lost_gates.insert(gate.clone(), now + GATE_BACKOFF);
+    }
+
+    /// Takes note that a gate has answered.
+    pub fn on_gate_heard(&mut self, gate: &Name) {
+        self.lost_gates.remove(gate);
+    }
+
+    /// Returns the gate that serves a server, if any gate is alive: the first of its block that
+    /// was not lost lately, or the first if all were.
+    pub fn gate_of(&self, server: &Name, now: Time) -> Option<&Name> {
+        let ranked = self.ranked.get(self.blocks.get(server)?)?;
+        let is_lost = |it: &Name| self.lost_gates.get(it).is_some_and(|until| now < *until);
+        ranked.iter().find(|it| !is_lost(it)).or(ranked.first())
     }
 
     /// Takes note of an attempt that was sent to a server.
@@ -102,21 +122,29 @@
         &self,
         rule: &Rule,
         snapshot: &Snapshot,
+        holdings: &Holdings,
         now: Time,
         rng: &mut impl Rng,
     ) -> Vec<Target> {
         let shards = snapshot.shards.iter().filter_map(|it| self.config.shards.get(it));
         let reached = shards.filter(|it| rule.services.contains(&it.service));
-        reached.map(|it| self.target(it, now, rng)).collect()
+        let lacks = |it: &Name| holdings.holds(it, snapshot.version, now) == Some(false);
+        reached.map(|it| self.target(it, lacks, now, rng)).collect()
     }
 
-    fn target(&self, shard: &Shard, now: Time, rng: &mut impl Rng) -> Target {
+    fn target(
+        &self,
+        shard: &Shard,
+        lacks: impl Fn(&Name) -> bool,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Target {
         let replicas = shard.replicas.iter().filter_map(|it| self.config.servers.get(it));
         let open = replicas.filter(|it| self.takes_work(it));
         let mut ranked: Vec<_> = open
             .filter_map(|it| {
-                let gate = self.gate_of(&it.name)?.clone();
-                let cost = self.cost(it, now, rng);
+                let gate = self.gate_of(&it.name, now)?.clone();
+                let cost = self.cost(it, lacks(&it.name), now, rng);
                 Some((cost, Route { server: it.name.clone(), gate }))
             })
             .collect();
@@ -130,12 +158,18 @@
         self.config.is_open(&server.data_centre) && !self.leaving.contains(&server.name)
     }
 
-    /// Returns how a replica compares with others: first by whether it answers at all, then by
+    /// Returns how a replica compares with others: first by whether it can answer at all, then by
     /// the expected time, which is blurred so that entries do not all pick the same one.
-    fn cost(&self, server: &Server, now: Time, rng: &mut impl Rng) -> (bool, Duration) {
+    fn cost(
+        &self,
+        server: &Server,
+        lacks: bool,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> (bool, Duration) {
         let slots = self.config.services.get(&server.service).map_or(1, |it| it.slots);
         let load = self.loads.get(&server.name).copied().unwrap_or_default();
-        let unusable = load.trust(now) >= Trust::Down;
+        let unusable = lacks || load.trust(now) >= Trust::Down;
         let expected = load.wait(slots, now) + self.distance_to(&server.data_centre);
         (unusable, expected.mul_f64(rng.random_range(0.8..1.2)))
     }
@@ -160,7 +194,7 @@
             let trust = self.loads.get(&route.server).map(|it| it.trust(now));
             matches!(trust, Some(Trust::Cold | Trust::Ramping))
         };
-        if let Some(index) = ranked.iter().position(|(_, route)| is_ramping(route)) {
+        if let Some(index) = ranked.iter().position(|(cost, route)| !cost.0 && is_ramping(route)) {
             ranked[..=index].rotate_right(1);
         }
     }
@@ -171,9 +205,8 @@
             if self.ranked.contains_key(block) {
                 continue;
             }
-            if let Some(gate) = place::gates(block, &self.gates, 1).pop() {
-                self.ranked.insert(block.clone(), gate);
-            }
+            let gates = place::gates(block, &self.gates, RANKED_GATES as usize);
+            self.ranked.insert(block.clone(), gates);
         }
     }
 }
--- a/crates/core/src/wire/call.rs
+++ b/crates/core/src/wire/call.rs
@@ -2,7 +2,7 @@
 use serde_json::value::RawValue;
 
 use super::Sub;
-use crate::config::Class;
+use crate::{config::Class, fingerprint::Fingerprint};
 
 /// Everything that one query asks of one gate at once.
 #[derive(Clone, Debug, Deserialize, Serialize)]
@@ -11,6 +11,10 @@
     pub id: u64,
     /// The priority class.
     pub class: Class,
+    /// The fingerprint of the content.
+    pub content: Fingerprint,
+    /// Whether the request may run more than once.
+    pub idempotent: bool,
     /// Microseconds after which the answer is of no more use.
     pub budget_micros: u64,
     /// The version of the index to answer from.
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -1,63 +1,37 @@
-use std::{
-    collections::HashMap,
-    sync::{
-        Arc, Mutex, MutexGuard,
-        atomic::{AtomicU64, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc, Mutex, MutexGuard,
+    atomic::{AtomicBool, AtomicU64, Ordering},
 };
 
 use mimosabridge::{
-    config::{Rule, Snapshot},
+    fingerprint::Fingerprint,
     name::Name,
-    outcome::Hint,
-    query::Target,
-    retry::{Budget, Latency},
-    route::Table,
+    outcome::{Hint, Outcome, Refusal},
+    quarantine::List,
+    query::Answer,
     time::Time,
 };
-use rand::{SeedableRng, rngs::StdRng};
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
-use super::Links;
-use crate::{fleet::View, timer};
-
-/// Hundredths of an extra attempt that each success pays for.
-const BUDGET_PERCENT: u32 = 10;
-
-/// Extra attempts that may be made at once.
-const BUDGET_CAPACITY: u32 = 50;
-
-/// When to hedge before a rule has enough samples.
-const DEFAULT_HEDGE: Duration = Duration::from_millis(30);
-
-/// The shortest time after which to hedge.
-const MIN_HEDGE: Duration = Duration::from_millis(1);
+use super::{Links, Request, session::Session, state::State};
+use crate::{
+    fleet::{Pulse, View},
+    timer,
+};
 
 /// What the sessions of an entry share.
 pub struct Front {
     /// The timers.
     pub timer: timer::Service,
-    /// The connections to the gates.
+    /// The connections to the other nodes.
     pub links: Links,
     view: watch::Receiver<Arc<View>>,
+    pulse: Pulse,
+    quarantine: Arc<Mutex<List>>,
     state: Mutex<State>,
     next_call: AtomicU64,
-}
-
-/// The decisions that sessions share.
-struct State {
-    table: Table,
-    rng: StdRng,
-    rules: HashMap<Name, RuleState>,
-}
-
-/// What an entry has learned of one rule.
-pub struct RuleState {
-    /// Pays for retries and hedges.
-    pub budget: Budget,
-    /// How long shards take to answer.
-    pub latency: Latency,
+    stopping: AtomicBool,
 }
 
 impl Front {
@@ -68,18 +42,18 @@
         boot: u64,
         timer: timer::Service,
         view: watch::Receiver<Arc<View>>,
+        pulse: Pulse,
+        quarantine: Arc<Mutex<List>>,
     ) -> Front {
-        let state = State {
-            table: Table::new(data_centre),
-            rng: StdRng::seed_from_u64(boot),
-            rules: HashMap::new(),
-        };
         Front {
             timer,
             links: Links::new(),
             view,
-            state: Mutex::new(state),
+            pulse,
+            quarantine,
+            state: Mutex::new(State::new(data_centre, boot)),
             next_call: AtomicU64::new(boot << 24),
+            stopping: AtomicBool::new(false),
         }
     }
 
@@ -88,15 +62,31 @@
         self.view.borrow().clone()
     }
 
+    /// Returns whether callers should be sent here.
+    pub fn is_ready(&self) -> bool {
+        let stopping = self.stopping.load(Ordering::Relaxed);
+        !stopping && !self.pulse.is_isolated() && self.view.borrow().config.is_some()
+    }
+
+    /// Tells the balancer to move its callers, while they are still served.
+    pub fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
     /// Follows the view of the fleet until it ends.
     pub async fn follow(self: Arc<Self>) {
         let mut view = self.view.clone();
         view.mark_changed();
+        let mut stamp = None;
         while view.changed().await.is_ok() {
             let view = view.borrow_and_update().clone();
             let mut state = self.lock();
-            if let Some(bundle) = &view.config {
-                state.table.reconfigure(Arc::new(bundle.set.clone()));
+            let newer = view.config.as_ref().map(|it| it.stamp);
+            if newer != stamp {
+                stamp = newer;
+                state.table.reconfigure(view.set.clone());
+                state.chooser.reset();
+                state.holdings.retain(|it| view.set.servers.contains_key(it));
             }
             state.table.set_gates(view.gate_places());
             state.table.set_leaving(view.leaving.clone());
@@ -105,48 +95,82 @@
         }
     }
 
+    /// Serves a request, unless it must be turned away. It is dropped when `cancelled`.
+    pub async fn serve(self: &Arc<Self>, request: Request, cancelled: CancellationToken) -> Answer {
+        let view = self.view();
+        let Some(rule) = view.set.rules.get(&request.rule).cloned() else {
+            return Answer::not_run(Refusal::NotConfigured);
+        };
+        let now = self.timer.now();
+        if self.quarantine().is_quarantined(request.content(), now) {
+            return Answer::not_run(Refusal::Quarantined);
+        }
+        if !self.lock().door.enter(rule.class, now) {
+            return Answer::not_run(Refusal::Overloaded);
+        }
+        let session = Session::new(self.clone(), request, rule, view);
+        let answer = tokio::spawn(session.run(cancelled)).await;
+        self.lock().door.leave();
+        answer.unwrap_or_else(|_| Answer::unknown())
+    }
+
     /// Returns a number for a call that no other call of the fleet has.
     pub fn next_call(&self) -> u64 {
         self.next_call.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Returns the targets of a query.
-    pub fn targets(&self, rule: &Rule, snapshot: &Snapshot, now: Time) -> Vec<Target> {
-        let state = &mut *self.lock();
-        state.table.targets(rule, snapshot, now, &mut state.rng)
-    }
-
     /// Takes note of an attempt that was sent to a server.
     pub fn on_sent(&self, server: &Name) {
         self.lock().table.on_sent(server);
     }
 
-    /// Takes note of an attempt that is over, and of what its gate said of the server.
-    pub fn on_done(&self, server: &Name, hint: Option<Hint>, now: Time) {
+    /// Takes note of an attempt that was cancelled.
+    pub fn on_cancelled(&self, server: &Name) {
+        self.lock().table.on_done(server);
+    }
+
+    /// Takes note of the outcome of an attempt, and of what its gate said of the server.
+    pub fn on_outcome(
+        &self,
+        server: &Name,
+        gate: &Name,
+        outcome: &Outcome,
+        hint: Option<Hint>,
+        now: Time,
+    ) {
         let mut state = self.lock();
         state.table.on_done(server);
-        if let Some(hint) = hint {
-            state.table.on_hint(server, hint, now);
+        match hint {
+            Some(hint) => {
+                state.table.on_hint(server, hint, now);
+                state.table.on_gate_heard(gate);
+            }
+            None => state.table.on_gate_lost(gate, now),
+        }
+        let no_room = matches!(outcome, Outcome::Refused(Refusal::QueueFull | Refusal::Shed));
+        state.door.on_outcome(no_room, now);
+        match outcome {
+            Outcome::Served(reply) => state.holdings.hear(server, reply.holds.clone(), now),
+            Outcome::Refused(Refusal::NotHeld(held)) => {
+                state.holdings.hear(server, held.clone(), now);
+            }
+            _ => {}
         }
     }
 
-    /// Returns how long a shard may stay silent before it is asked again elsewhere.
-    pub fn hedge_after(&self, rule: &Rule) -> Duration {
-        let quantile = self.with_rule(&rule.name, |it| it.latency.quantile(rule.hedge_quantile));
-        quantile.unwrap_or(DEFAULT_HEDGE).max(MIN_HEDGE)
+    /// Takes note that a content was run in full without a crash.
+    pub fn on_harmless(&self, content: Fingerprint) {
+        self.quarantine().clear(content);
+        self.lock().on_harmless(content);
     }
 
-    /// Reads or changes what was learned of a rule.
-    pub fn with_rule<T>(&self, rule: &Name, work: impl FnOnce(&mut RuleState) -> T) -> T {
-        let mut state = self.lock();
-        let rule = state.rules.entry(rule.clone()).or_insert_with(|| RuleState {
-            budget: Budget::new(BUDGET_PERCENT, BUDGET_CAPACITY),
-            latency: Latency::new(),
-        });
-        work(rule)
+    /// Returns the contents that crash backend servers.
+    pub fn quarantine(&self) -> MutexGuard<'_, List> {
+        self.quarantine.lock().expect("no holder of the lock panics")
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    /// Returns the decisions that sessions share. Hold them only for a moment.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().expect("no holder of the lock panics")
     }
 }
--- /dev/null
+++ b/crates/node/src/entry/home.rs
@@ -0,0 +1,157 @@
+use std::{
+    sync::{Arc, Mutex, MutexGuard},
+    time::Duration,
+};
+
+use jsonrpsee::core::{RpcResult, async_trait};
+use mimosabridge::{
+    name::Name,
+    outcome::Refusal,
+    query::Answer,
+    ticket::{Begin, Full, Table, Ticket},
+    time::Time,
+};
+use tokio::sync::Notify;
+use tokio_util::sync::CancellationToken;
+
+use super::{Front, HomeClient, HomeServer, Request};
+
+/// How long a ticket is kept after it is issued, and again after its run.
+const TICKET_TTL: Duration = Duration::from_secs(600);
+
+/// Tickets that one entry keeps.
+const TICKET_CAPACITY: usize = 100_000;
+
+/// How long an answer is waited for beyond the deadline of the request.
+const ANSWER_GRACE: Duration = Duration::from_secs(1);
+
+/// Runs requests that are not idempotent, each at most once, at the home of its ticket.
+#[derive(Clone)]
+pub struct Home {
+    name: Name,
+    front: Arc<Front>,
+    table: Arc<Mutex<Table>>,
+    finished: Arc<Notify>,
+}
+
+impl Home {
+    /// Creates the home for the tickets of the entry `name` in the life `boot` of its process.
+    pub fn new(name: Name, boot: u64, front: Arc<Front>) -> Home {
+        let table = Table::new(name.clone(), boot, TICKET_TTL, TICKET_CAPACITY);
+        Home { name, front, table: Arc::new(Mutex::new(table)), finished: Arc::default() }
+    }
+
+    /// Issues a ticket.
+    pub fn issue(&self) -> Result<Ticket, Full> {
+        self.table().issue(self.front.timer.now())
+    }
+
+    /// Returns the number of requests that are running.
+    pub fn running(&self) -> usize {
+        self.table().running()
+    }
+
+    /// Waits until no request is running.
+    pub async fn drain(&self) {
+        loop {
+            let finished = self.finished.notified();
+            if self.running() == 0 {
+                return;
+            }
+            finished.await;
+        }
+    }
+
+    /// Runs the request of a ticket at its home, or returns the answer of its run.
+    pub async fn submit(&self, ticket: Ticket, request: Request) -> Answer {
+        if ticket.home == self.name {
+            return self.submit_here(ticket, request).await;
+        }
+        let patience = request.budget.unwrap_or(self.deadline(&request)) + ANSWER_GRACE;
+        let Some(link) = self.front.links.get(&ticket.home, &self.front.view()) else {
+            return Answer::unknown();
+        };
+        let Some(client) = link.connect().await else { return Answer::unknown() };
+        match tokio::time::timeout(patience, HomeClient::submit(&*client, ticket, request)).await {
+            Ok(Ok(answer)) => answer,
+            // Nobody tries again: the home may have run the request.
+            Ok(Err(_)) | Err(_) => Answer::unknown(),
+        }
+    }
+
+    /// Returns the answer of the run of a ticket from its home, if the run is over.
+    pub async fn answer(&self, ticket: Ticket) -> Option<Answer> {
+        if ticket.home == self.name {
+            return self.table().answer(&ticket).map(|it| (*it).clone());
+        }
+        let link = self.front.links.get(&ticket.home, &self.front.view())?;
+        let client = link.connect().await?;
+        HomeClient::answer(&*client, ticket).await.ok().flatten()
+    }
+
+    async fn submit_here(&self, ticket: Ticket, request: Request) -> Answer {
+        let until = self.front.timer.now()
+            + request.budget.unwrap_or(self.deadline(&request))
+            + ANSWER_GRACE;
+        let begin = self.table().begin(&ticket, request.content(), self.front.timer.now());
+        match begin {
+            Begin::Run => {
+                self.run(&ticket, request);
+                self.wait(&ticket, until).await
+            }
+            Begin::Running => self.wait(&ticket, until).await,
+            Begin::Done(answer) => (*answer).clone(),
+            Begin::OtherRequest => Answer::not_run(Refusal::TicketTaken),
+            Begin::Unknown => Answer::unknown(),
+        }
+    }
+
+    /// Runs a request in a task of its own: it goes on when its caller goes.
+    fn run(&self, ticket: &Ticket, request: Request) {
+        let home = self.clone();
+        let serial = ticket.serial;
+        tokio::spawn(async move {
+            let answer = home.front.serve(request, CancellationToken::new()).await;
+            home.table().finish(serial, Arc::new(answer), home.front.timer.now());
+            home.finished.notify_waiters();
+        });
+    }
+
+    async fn wait(&self, ticket: &Ticket, until: Time) -> Answer {
+        let mut late = self.front.timer.at(until);
+        loop {
+            let finished = self.finished.notified();
+            if let Some(answer) = self.table().answer(ticket) {
+                return (*answer).clone();
+            }
+            tokio::select! {
+                () = finished => {}
+                _ = &mut late => return Answer::unknown(),
+            }
+        }
+    }
+
+    fn deadline(&self, request: &Request) -> Duration {
+        let view = self.front.view();
+        view.set.rules.get(&request.rule).map_or(Duration::ZERO, |it| it.deadline())
+    }
+
+    fn table(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().expect("no holder of the lock panics")
+    }
+}
+
+#[async_trait]
+impl HomeServer for Home {
+    async fn submit(&self, ticket: Ticket, request: Request) -> RpcResult<Answer> {
+        // A ticket that was sent to the wrong home is not passed on a second time.
+        if ticket.home != self.name {
+            return Ok(Answer::unknown());
+        }
+        Ok(self.submit_here(ticket, request).await)
+    }
+
+    async fn answer(&self, ticket: Ticket) -> RpcResult<Option<Answer>> {
+        Ok(self.table().answer(&ticket).map(|it| (*it).clone()))
+    }
+}
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -1,68 +1,113 @@
 use std::sync::Arc;
 
-use mimosabridge::query::{Answer, Verdict};
+use mimosabridge::{
+    outcome::Refusal,
+    query::{Answer, Verdict},
+    ticket::Ticket,
+};
 use poem::{
     Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler,
     http::StatusCode,
     post,
-    web::{Data, Json},
+    web::{Data, Json, Path},
 };
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
-use super::{Front, Input, Request, session::Session};
+use super::{Front, Home, Input, Request};
 
-/// The body of a refusal.
+/// The body of a response to input that is wrong.
 #[derive(Debug, Serialize)]
 struct Problem {
     error: String,
 }
 
+/// The body of a response that issues a ticket.
+#[derive(Debug, Serialize)]
+struct Issued {
+    ticket: Ticket,
+}
+
 /// Returns the HTTP service for callers.
-pub fn routes(front: Arc<Front>) -> impl Endpoint {
-    Route::new().at("/v1/query", post(query)).at("/health", get(health)).data(front)
+pub fn routes(front: Arc<Front>, home: Home) -> impl Endpoint {
+    Route::new()
+        .at("/v1/query", post(query))
+        .at("/v1/tickets", post(issue))
+        .at("/v1/tickets/:ticket", get(find))
+        .at("/health", get(health))
+        .data(front)
+        .data(home)
 }
 
 #[handler]
-async fn query(front: Data<&Arc<Front>>, body: Vec<u8>) -> Response {
-    let front = front.0.clone();
-    let request: Request = match serde_json::from_slice::<Input>(&body) {
-        Ok(input) => input.into(),
+async fn query(front: Data<&Arc<Front>>, home: Data<&Home>, body: Vec<u8>) -> Response {
+    let input = match serde_json::from_slice::<Input>(&body) {
+        Ok(input) => input,
         Err(error) => {
             return problem(StatusCode::BAD_REQUEST, format!("the body is not a query: {error}"));
         }
     };
-    let view = front.view();
-    let Some(bundle) = &view.config else {
-        let error = "no configuration is in force yet; the request was not run".to_owned();
-        return problem(StatusCode::SERVICE_UNAVAILABLE, error);
+    let ticket = input.ticket.clone();
+    let request: Request = input.into();
+    let answer = match (ticket, request.idempotent) {
+        (Some(ticket), _) => home.submit(ticket, request).await,
+        (None, false) => Answer::not_run(Refusal::TicketMissing),
+        (None, true) => {
+            // Dropping this future, as happens when the caller goes, drops the guard and cancels.
+            let cancelled = CancellationToken::new();
+            let _guard = cancelled.clone().drop_guard();
+            front.serve(request, cancelled).await
+        }
     };
-    let Some(rule) = bundle.set.rules.get(&request.rule).cloned() else {
-        let error = format!("there is no rule \"{}\"; the request was not run", request.rule);
-        return problem(StatusCode::NOT_FOUND, error);
+    answered(answer)
+}
+
+#[handler]
+fn issue(home: Data<&Home>) -> Response {
+    match home.issue() {
+        Ok(ticket) => Json(Issued { ticket }).with_status(StatusCode::CREATED).into_response(),
+        Err(error) => problem(StatusCode::SERVICE_UNAVAILABLE, error.to_string()),
+    }
+}
+
+#[handler]
+async fn find(home: Data<&Home>, Path(text): Path<String>) -> Response {
+    let ticket: Ticket = match text.parse() {
+        Ok(ticket) => ticket,
+        Err(error) => {
+            let error: mimosabridge::ticket::TicketError = error;
+            return problem(StatusCode::BAD_REQUEST, error.to_string());
+        }
     };
-    // Dropping this future, as happens when the caller goes, drops the guard and cancels.
-    let cancelled = CancellationToken::new();
-    let _guard = cancelled.clone().drop_guard();
-    let session = Session::new(front, request, rule, view);
-    match tokio::spawn(session.run(cancelled)).await {
-        Ok(Some(answer)) => answered(answer),
-        _ => problem(StatusCode::INTERNAL_SERVER_ERROR, "the request failed".to_owned()),
+    match home.answer(ticket).await {
+        Some(answer) => answered(answer),
+        None => {
+            let error = "no answer is known for the ticket: its request is running, was not sent, \
+                         or nobody knows";
+            problem(StatusCode::NOT_FOUND, error.to_owned())
+        }
     }
 }
 
 #[handler]
 fn health(front: Data<&Arc<Front>>) -> StatusCode {
-    if front.view().config.is_some() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
+    if front.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
 }
 
 fn answered(answer: Answer) -> Response {
-    let status = match answer.verdict {
-        Verdict::Complete | Verdict::Partial => StatusCode::OK,
-        Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
-        Verdict::Unknown => StatusCode::GATEWAY_TIMEOUT,
-    };
-    Json(answer).with_status(status).into_response()
+    Json(&answer).with_status(status(&answer)).into_response()
+}
+
+fn status(answer: &Answer) -> StatusCode {
+    match (answer.verdict, &answer.refusal) {
+        (Verdict::Complete | Verdict::Partial, _) => StatusCode::OK,
+        (Verdict::Unknown, _) => StatusCode::GATEWAY_TIMEOUT,
+        (Verdict::NotRun, Some(Refusal::NotConfigured)) => StatusCode::NOT_FOUND,
+        (Verdict::NotRun, Some(Refusal::Quarantined)) => StatusCode::UNPROCESSABLE_ENTITY,
+        (Verdict::NotRun, Some(Refusal::TicketMissing)) => StatusCode::BAD_REQUEST,
+        (Verdict::NotRun, Some(Refusal::TicketTaken)) => StatusCode::CONFLICT,
+        (Verdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+    }
 }
 
 fn problem(status: StatusCode, error: String) -> Response {
--- a/crates/node/src/entry/link.rs
+++ b/crates/node/src/entry/link.rs
@@ -7,6 +7,7 @@
 use mimosabridge::{
     name::Name,
     outcome::{Failure, Hint, Outcome, Refusal},
+    time::Time,
     wire::{Call, Item},
 };
 use tokio::{
@@ -14,10 +15,7 @@
     time::timeout,
 };
 
-use crate::{
-    events,
-    gate::{GateClient, MAX_MESSAGE},
-};
+use crate::{events, gate::GateClient, rpc::MAX_MESSAGE, timer};
 
 /// How long a connection to a gate may take to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -34,7 +32,7 @@
 /// Calls that may wait for their acknowledgement on one connection.
 const MAX_CALLS: usize = 100_000;
 
-/// The connection of an entry to one gate. It opens when it is first used.
+/// The connection of an entry to one other node. It opens when it is first used.
 #[derive(Debug)]
 pub struct Link {
     gate: Name,
@@ -57,9 +55,15 @@
     }
 
     /// Makes a call and sends the fate of each of its attempts, exactly one for each.
-    pub async fn call(&self, call: Call, fates: mpsc::UnboundedSender<Fate>) {
+    pub async fn call(
+        &self,
+        call: Call,
+        deadline: Time,
+        timer: &timer::Service,
+        fates: mpsc::UnboundedSender<Fate>,
+    ) {
         let mut waiting: Vec<u32> = call.subs.iter().map(|it| it.attempt).collect();
-        let lost = self.exchange(call, &mut waiting, &fates).await;
+        let lost = self.exchange(call, deadline, timer, &mut waiting, &fates).await;
         for attempt in waiting {
             let _ = fates.send((attempt, lost.clone(), None));
         }
@@ -76,13 +80,21 @@
     /// Makes a call, and returns the outcome of the attempts that are left in `waiting`.
     async fn exchange(
         &self,
-        call: Call,
+        mut call: Call,
+        deadline: Time,
+        timer: &timer::Service,
         waiting: &mut Vec<u32>,
         fates: &mpsc::UnboundedSender<Fate>,
     ) -> Outcome {
         let Some(client) = self.connect().await else {
             return Outcome::Refused(Refusal::GateUnreachable);
         };
+        // The process may have slept while it connected.
+        let budget = timer.now().until(deadline);
+        if budget.is_zero() {
+            return Outcome::Refused(Refusal::Expired);
+        }
+        call.budget_micros = budget.as_micros() as u64;
         let lost = Outcome::Failed(Failure::GateLost);
         let mut items = match timeout(SILENCE, client.run(call)).await {
             Ok(Ok(items)) => items,
@@ -121,7 +133,8 @@
         }
     }
 
-    async fn connect(&self) -> Option<Arc<WsClient>> {
+    /// Returns the open connection, or opens one. Returns nothing if the node is not reached.
+    pub async fn connect(&self) -> Option<Arc<WsClient>> {
         let mut slot = self.client.lock().await;
         if let Some(client) = slot.as_ref().filter(|it| it.is_connected()) {
             return Some(client.clone());
--- a/crates/node/src/entry/links.rs
+++ b/crates/node/src/entry/links.rs
@@ -8,35 +8,35 @@
 use super::Link;
 use crate::fleet::View;
 
-/// The connections of an entry to the gates, one for each gate.
+/// The connections of an entry to the other nodes, one for each.
 #[derive(Debug, Default)]
 pub struct Links {
     links: Mutex<HashMap<Name, Arc<Link>>>,
 }
 
 impl Links {
-    /// Creates links to no gate.
+    /// Creates links to no node.
     pub fn new() -> Links {
         Links::default()
     }
 
-    /// Returns the link to a gate, if the gate is known.
-    pub fn get(&self, gate: &Name, view: &View) -> Option<Arc<Link>> {
+    /// Returns the link to a node, if the node is known.
+    pub fn get(&self, node: &Name, view: &View) -> Option<Arc<Link>> {
         let mut links = self.links.lock().expect("no holder of the lock panics");
-        let Some(member) = view.gates.get(gate) else {
-            return links.get(gate).cloned();
+        let Some(member) = view.nodes.get(node) else {
+            return links.get(node).cloned();
         };
-        if let Some(link) = links.get(gate).filter(|it| it.address() == member.address) {
+        if let Some(link) = links.get(node).filter(|it| it.address() == member.address) {
             return Some(link.clone());
         }
-        let link = Arc::new(Link::new(gate.clone(), member.address));
-        links.insert(gate.clone(), link.clone());
+        let link = Arc::new(Link::new(node.clone(), member.address));
+        links.insert(node.clone(), link.clone());
         Some(link)
     }
 
-    /// Closes the links to gates that are no longer known.
+    /// Closes the links to nodes that are no longer known.
     pub fn retain(&self, view: &View) {
         let mut links = self.links.lock().expect("no holder of the lock panics");
-        links.retain(|name, _| view.gates.contains_key(name));
+        links.retain(|name, _| view.nodes.contains_key(name));
     }
 }
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use mimosabridge::name::Name;
-use serde::Deserialize;
+use mimosabridge::{fingerprint::Fingerprint, name::Name, ticket::Ticket};
+use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
 /// The body of `POST /v1/query`.
@@ -15,10 +15,16 @@
     /// Milliseconds after which the answer is of no more use; the rule's deadline caps it.
     #[serde(default)]
     pub deadline_ms: Option<u64>,
+    /// Whether the request may run more than once.
+    #[serde(default = "default_idempotent")]
+    pub idempotent: bool,
+    /// The ticket of a request that is not idempotent.
+    #[serde(default)]
+    pub ticket: Option<Ticket>,
 }
 
 /// A request that was read and found whole.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Request {
     /// The rule to be served by.
     pub rule: Name,
@@ -30,13 +36,24 @@
     pub idempotent: bool,
 }
 
+impl Request {
+    /// Returns the fingerprint of the content.
+    pub fn content(&self) -> Fingerprint {
+        Fingerprint::new(&self.rule, self.query.get().as_bytes())
+    }
+}
+
 impl From<Input> for Request {
     fn from(input: Input) -> Request {
         Request {
             rule: input.rule,
             query: input.query,
             budget: input.deadline_ms.map(Duration::from_millis),
-            idempotent: true,
+            idempotent: input.idempotent && input.ticket.is_none(),
         }
     }
 }
+
+fn default_idempotent() -> bool {
+    true
+}
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -1,7 +1,8 @@
 use std::{collections::HashMap, sync::Arc};
 
 use mimosabridge::{
-    config::{Rule, Set, Snapshot},
+    config::{Rule, Snapshot},
+    fingerprint::Fingerprint,
     name::Name,
     outcome::{Outcome, Refusal},
     query::{Action, Answer, Attempt, Ending, Plan, Run},
@@ -18,6 +19,7 @@
 pub struct Session {
     front: Arc<Front>,
     request: Request,
+    content: Fingerprint,
     rule: Rule,
     view: Arc<View>,
     deadline: Time,
@@ -40,35 +42,57 @@
         let budget = request.budget.unwrap_or(rule.deadline()).min(rule.deadline());
         let deadline = front.timer.now() + budget;
         let (fates, inbox) = mpsc::unbounded_channel();
-        Session { front, request, rule, view, deadline, sent: HashMap::new(), fates, inbox }
+        Session {
+            front,
+            content: request.content(),
+            request,
+            rule,
+            view,
+            deadline,
+            sent: HashMap::new(),
+            fates,
+            inbox,
+        }
     }
 
-    /// Runs the request. Returns nothing if it was cancelled.
-    pub async fn run(mut self, cancelled: CancellationToken) -> Option<Answer> {
-        let set = &self.view.config.clone()?.set;
-        let mut snapshot = newest(set, &self.rule)?;
+    /// Runs the request. Returns an answer that nobody reads if it was cancelled.
+    pub async fn run(mut self, cancelled: CancellationToken) -> Answer {
+        let set = self.view.set.clone();
+        let mut pinned = {
+            let state = &mut *self.front.lock();
+            let now = self.front.timer.now();
+            state.chooser.choose(&set, &self.rule, &state.holdings, now)
+        };
         let mut may_restart = true;
         loop {
-            match self.attempt(snapshot, may_restart, &cancelled).await? {
-                Ending::Settled { replies, coverage, may_have_run } => {
-                    return Some(Answer::new(
+            let Some(snapshot) = pinned else {
+                return Answer::not_run(Refusal::NotConfigured);
+            };
+            match self.attempt(snapshot, may_restart, &cancelled).await {
+                Some(Ending::Settled { replies, coverage, may_have_run }) => {
+                    if coverage.is_complete() {
+                        self.front.on_harmless(self.content);
+                    }
+                    return Answer::new(
                         snapshot.version,
                         replies,
                         coverage,
                         may_have_run,
                         self.rule.deduplicate,
                         self.rule.max_hits,
-                    ));
+                    );
                 }
-                Ending::Restart { version } => {
+                Some(Ending::Restart { version }) => {
                     may_restart = false;
-                    snapshot = at_version(set, &self.rule, version).unwrap_or(snapshot);
+                    let snapshots = set.snapshots_of(&self.rule.index);
+                    pinned = snapshots.into_iter().find(|it| it.version <= version);
                 }
-                Ending::Quarantine { .. } => return None,
+                Some(Ending::Quarantine { .. }) | None => return Answer::unknown(),
             }
         }
     }
 
+    /// Runs the request on one snapshot. Returns nothing if it was cancelled.
     async fn attempt(
         &mut self,
         snapshot: &Snapshot,
@@ -76,16 +100,7 @@
         cancelled: &CancellationToken,
     ) -> Option<Ending> {
         let now = self.front.timer.now();
-        let plan = Plan {
-            snapshot: snapshot.version,
-            targets: self.front.targets(&self.rule, snapshot, now),
-            deadline: self.deadline,
-            idempotent: self.request.idempotent,
-            hedge_after: self.front.hedge_after(&self.rule),
-            canaries: 0,
-            may_restart,
-        };
-        let mut run = Run::new(plan);
+        let mut run = Run::new(self.plan(snapshot, may_restart, now));
         let actions = run.start(now);
         if let Some(ending) = self.act(snapshot, actions) {
             return Some(ending);
@@ -96,7 +111,7 @@
                 Some(fate) = self.inbox.recv() => self.on_fate(&mut run, fate),
                 _ = alarm => {
                     let now = self.front.timer.now();
-                    self.front.with_rule(&self.rule.name, |it| run.on_time(now, &mut it.budget))
+                    run.on_time(now, &mut self.front.lock().rule(&self.rule.name).budget)
                 }
                 () = cancelled.cancelled() => {
                     let actions = run.cancel();
@@ -110,17 +125,35 @@
         }
     }
 
+    fn plan(&self, snapshot: &Snapshot, may_restart: bool, now: Time) -> Plan {
+        let crashed = self.front.quarantine().crashed(self.content).to_vec();
+        let state = &mut *self.front.lock();
+        let targets =
+            state.table.targets(&self.rule, snapshot, &state.holdings, now, &mut state.rng);
+        let is_wide = targets.len() > self.rule.canary_over;
+        let canaries = usize::from(is_wide && !state.is_harmless(self.content));
+        Plan {
+            snapshot: snapshot.version,
+            targets,
+            deadline: self.deadline,
+            idempotent: self.request.idempotent,
+            hedge_after: state.rule(&self.rule.name).hedge_after(self.rule.hedge_quantile),
+            canaries,
+            crashed,
+            may_restart,
+        }
+    }
+
     fn on_fate(&mut self, run: &mut Run, (attempt, outcome, hint): Fate) -> Vec<Action> {
         let now = self.front.timer.now();
         let Some(sent) = self.sent.remove(&attempt) else { return Vec::new() };
-        self.front.on_done(&sent.server, hint, now);
-        let served = matches!(outcome, Outcome::Served(_));
-        self.front.with_rule(&self.rule.name, |it| {
-            if served {
-                it.latency.record(now.since(sent.at), now);
-            }
-            run.on_outcome(attempt, outcome, now, &mut it.budget)
-        })
+        self.front.on_outcome(&sent.server, &sent.gate, &outcome, hint, now);
+        let mut state = self.front.lock();
+        let rule = state.rule(&self.rule.name);
+        if matches!(outcome, Outcome::Served(_)) {
+            rule.latency.record(now.since(sent.at), now);
+        }
+        run.on_outcome(attempt, outcome, now, &mut rule.budget)
     }
 
     /// Does what the run asks for. Returns the ending, if the run has come to it.
@@ -135,7 +168,7 @@
                 }
                 Action::Cancel(attempt) => {
                     let Some(sent) = self.sent.remove(&attempt) else { continue };
-                    self.front.on_done(&sent.server, None, self.front.timer.now());
+                    self.front.on_cancelled(&sent.server);
                     cancels.entry((sent.gate, sent.call)).or_default().push(attempt);
                 }
                 Action::End(end) => ending = Some(end),
@@ -164,6 +197,8 @@
         let call = Call {
             id,
             class: self.rule.class,
+            content: self.content,
+            idempotent: self.request.idempotent,
             budget_micros: now.until(self.deadline).as_micros() as u64,
             snapshot: snapshot.version,
             query: self.request.query.clone(),
@@ -171,8 +206,12 @@
             subs,
         };
         let fates = self.fates.clone();
+        let timer = self.front.timer.clone();
+        let deadline = self.deadline;
         match self.front.links.get(&gate, &self.view) {
-            Some(link) => drop(tokio::spawn(async move { link.call(call, fates).await })),
+            Some(link) => {
+                tokio::spawn(async move { link.call(call, deadline, &timer, fates).await });
+            }
             None => {
                 for sub in call.subs {
                     let outcome = Outcome::Refused(Refusal::GateUnreachable);
@@ -187,11 +226,3 @@
         tokio::spawn(async move { link.cancel(call, attempts).await });
     }
 }
-
-fn newest<'a>(set: &'a Set, rule: &Rule) -> Option<&'a Snapshot> {
-    set.snapshots_of(&rule.index).into_iter().next()
-}
-
-fn at_version<'a>(set: &'a Set, rule: &Rule, version: u64) -> Option<&'a Snapshot> {
-    set.snapshots_of(&rule.index).into_iter().find(|it| it.version == version)
-}
--- a/crates/node/src/events/mod.rs
+++ b/crates/node/src/events/mod.rs
@@ -9,6 +9,10 @@
 pub const NODE_STOPPING: Event = Event::new(1002, Level::Info, "node stopping");
 /// A node has finished its work and ends.
 pub const NODE_STOPPED: Event = Event::new(1003, Level::Info, "node stopped");
+/// The process slept so long that its beliefs are old.
+pub const NODE_PAUSED: Event = Event::new(1004, Level::Warn, "process slept");
+/// A node has lost contact with the rest of the system, or has it again.
+pub const NODE_ISOLATED: Event = Event::new(1005, Level::Warn, "contact changed");
 /// The connection to a gate was opened.
 pub const GATE_CONNECTED: Event = Event::new(2001, Level::Info, "connected to gate");
 /// A gate could not be reached, or the connection to it was lost.
@@ -22,15 +26,24 @@
 /// The platform's configuration service did not answer.
 pub const PLATFORM_LOST: Event = Event::new(3004, Level::Warn, "platform not reached");
 
+/// A backend server was seen leaving.
+pub const SERVER_LEAVING: Event = Event::new(4001, Level::Info, "backend server is leaving");
+/// A backend server crashed while it ran a request.
+pub const SERVER_CRASHED: Event = Event::new(4002, Level::Warn, "backend server crashed");
+
 /// All events, by number.
 pub const ALL: &[Event] = &[
     NODE_STARTED,
     NODE_STOPPING,
     NODE_STOPPED,
+    NODE_PAUSED,
+    NODE_ISOLATED,
     GATE_CONNECTED,
     GATE_LOST,
     CONFIG_ACCEPTED,
     CONFIG_INVALID,
     CONFIG_CONFLICT,
     PLATFORM_LOST,
+    SERVER_LEAVING,
+    SERVER_CRASHED,
 ];
--- /dev/null
+++ b/crates/node/src/fleet/client.rs
@@ -0,0 +1,88 @@
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use jsonrpsee::{
+    core::client::Error,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use mimosabridge::{
+    config::{Bundle, BundleError, Stamp, Step},
+    member::Record,
+};
+use snafu::Snafu;
+
+use super::{ConfigReply, PeerClient};
+
+/// How long a call to another node may take.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The most bytes of a reply. A whole configuration may have several megabytes.
+const MAX_REPLY: u32 = 64 * 1024 * 1024;
+
+/// Calls another node to catch up. The connection is closed after the call: catching up is rare.
+#[derive(Clone, Copy, Debug)]
+pub struct Client {
+    address: SocketAddr,
+}
+
+/// Another node could not be asked, or its answer is wrong.
+#[derive(Debug, Snafu)]
+pub enum FetchError {
+    /// The call failed.
+    #[snafu(transparent)]
+    Call {
+        /// Why it failed.
+        source: Error,
+    },
+    /// The steps do not lead to the configuration that they name.
+    #[snafu(transparent)]
+    Content {
+        /// What is wrong with them.
+        source: BundleError,
+    },
+}
+
+impl Client {
+    /// Creates a client of the node that takes calls at an address.
+    pub fn new(address: SocketAddr) -> Client {
+        Client { address }
+    }
+
+    /// Exchanges whole rosters.
+    pub async fn roster(&self, own: Vec<Record>) -> Result<Vec<Record>, FetchError> {
+        Ok(self.connect().await?.roster(own).await?)
+    }
+
+    /// Fetches the wanted configuration, as steps from the one that is held where possible.
+    /// Returns nothing if the other node does not hold it.
+    pub async fn config(
+        &self,
+        wanted: Stamp,
+        held: Option<Arc<Bundle>>,
+    ) -> Result<Option<Bundle>, FetchError> {
+        let client = self.connect().await?;
+        let reply = client.config(wanted, held.as_ref().map(|it| it.stamp)).await?;
+        match (reply, held) {
+            (ConfigReply::Steps(steps), Some(held)) => Ok(Some(advance(&held, steps)?)),
+            (ConfigReply::Whole(bundle), _) => Ok(Some(bundle.verify()?)),
+            (ConfigReply::Steps(_) | ConfigReply::Unknown, _) => Ok(None),
+        }
+    }
+
+    async fn connect(&self) -> Result<WsClient, Error> {
+        WsClientBuilder::new()
+            .connection_timeout(TIMEOUT)
+            .request_timeout(TIMEOUT)
+            .max_request_size(MAX_REPLY)
+            .max_response_size(MAX_REPLY)
+            .build(format!("ws://{}", self.address))
+            .await
+    }
+}
+
+fn advance(held: &Bundle, steps: Vec<Step>) -> Result<Bundle, BundleError> {
+    let mut bundle = held.clone();
+    for step in steps {
+        bundle = bundle.advance(step.head, &step.change)?;
+    }
+    Ok(bundle)
+}
--- a/crates/node/src/fleet/keeper.rs
+++ b/crates/node/src/fleet/keeper.rs
@@ -1,85 +1,455 @@
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    net::{IpAddr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use mimosabridge::config::{Chain, Origin, Verdict};
-use tokio::sync::watch;
+use mimosabridge::{
+    config::{Bundle, Chain, Head, History, Origin, Stamp, Step, Verdict},
+    fingerprint::Fingerprint,
+    member::{Action, News, Packet, Peer, Record, State},
+    name::Name,
+    place,
+    quarantine::List,
+    time::Time,
+};
+use rand::{SeedableRng, rngs::StdRng};
+use tokio::{
+    net::UdpSocket,
+    sync::{mpsc, oneshot, watch},
+};
+use xxhash_rust::xxh3::xxh3_64;
 
-use super::View;
-use crate::{events, node::Config, platform, timer};
+use super::{Client, ConfigReply, Member, Message, Pulse, View, reader::Reader, seeds::Seeds};
+use crate::{events, platform, timer};
+
+/// How often the rounds of the exchange are looked at.
+const TICK: Duration = Duration::from_millis(100);
 
 /// How long a configuration that was read is weighed against rivals before it is in force.
 const SETTLE: Duration = Duration::from_secs(2);
 
-/// How long one watch of the platform waits.
-const WATCH: Duration = Duration::from_secs(2);
+/// How long a node that starts waits for its peers before it trusts the platform alone.
+const BOOT_WAIT: Duration = Duration::from_secs(5);
+
+/// A sleep of the process of this length leaves its beliefs old.
+const PAUSE: Duration = Duration::from_secs(2);
+
+/// Nodes of each data centre that read the platform.
+const READERS: usize = 2;
+
+/// How long a backend server that was seen leaving is passed over.
+const LEAVING_TTL: Duration = Duration::from_secs(20);
+
+/// The least time between two announcements that the same server is leaving.
+const LEAVING_PERIOD: Duration = Duration::from_secs(5);
+
+/// The most bytes of a datagram.
+const MAX_DATAGRAM: usize = 2_048;
 
-/// How long to wait after a failed read.
-const RETRY: Duration = Duration::from_secs(1);
+/// What the keeper of a node is made of.
+pub struct Parts {
+    /// The record of this node.
+    pub own: Record,
+    /// The socket that takes packets.
+    pub socket: UdpSocket,
+    /// Addresses where other nodes may be found.
+    pub seeds: BTreeSet<SocketAddr>,
+    /// The platform.
+    pub platform: platform::Client,
+    /// The timers.
+    pub timer: timer::Service,
+    /// Where each view of the fleet is published.
+    pub views: watch::Sender<Arc<View>>,
+    /// The contact of this node with the others.
+    pub pulse: Pulse,
+    /// The contents that crash backend servers.
+    pub quarantine: Arc<Mutex<List>>,
+}
 
-/// Keeps the view of the fleet: follows the platform and tells the parts of the node.
+/// Keeps the view of the fleet: exchanges packets with the other nodes, follows the configuration
+/// and tells the parts of the node.
 pub struct Keeper {
     timer: timer::Service,
-    platform: platform::Client,
+    socket: UdpSocket,
+    seeds: Seeds,
+    peer: Peer,
     chain: Chain,
-    view: View,
+    history: History,
+    rng: StdRng,
+    reader: Reader,
+    platform: platform::Client,
     views: watch::Sender<Arc<View>>,
-    revision: u64,
+    pulse: Pulse,
+    quarantine: Arc<Mutex<List>>,
+    outbox: mpsc::UnboundedSender<Message>,
+    inbox: mpsc::UnboundedReceiver<Message>,
+    fetching: HashMap<Stamp, Origin>,
+    leaving: BTreeMap<Name, Sighting>,
+    conflicts: BTreeSet<Stamp>,
+    started: Time,
+}
+
+/// When and how a backend server was seen leaving.
+#[derive(Clone, Copy, Debug)]
+struct Sighting {
+    round: u32,
+    at: Time,
 }
 
 impl Keeper {
-    /// Creates the keeper of a node. It publishes each view to `views`.
-    pub fn new(config: &Config, timer: timer::Service, views: watch::Sender<Arc<View>>) -> Keeper {
-        let view = View {
-            config: None,
-            gates: config.gates.iter().cloned().collect(),
-            leaving: HashSet::new(),
-        };
-        Keeper {
-            timer,
-            platform: platform::Client::new(config.platform),
+    /// Starts the keeper in a task of its own and returns where to send it messages.
+    pub fn start(parts: Parts) -> mpsc::UnboundedSender<Message> {
+        let (outbox, inbox) = mpsc::unbounded_channel();
+        let now = parts.timer.now();
+        let boot = parts.own.incarnation.boot;
+        let port = parts.own.peer.port();
+        let keeper = Keeper {
+            seeds: Seeds::new(parts.seeds, port),
+            peer: Peer::new(parts.own, Default::default(), now),
             chain: Chain::new(SETTLE),
-            view,
-            views,
-            revision: 0,
+            history: History::new(),
+            rng: StdRng::seed_from_u64(boot),
+            reader: Reader::new(parts.platform.clone(), outbox.clone()),
+            platform: parts.platform,
+            timer: parts.timer,
+            socket: parts.socket,
+            views: parts.views,
+            pulse: parts.pulse,
+            quarantine: parts.quarantine,
+            outbox: outbox.clone(),
+            inbox,
+            fetching: HashMap::new(),
+            leaving: BTreeMap::new(),
+            conflicts: BTreeSet::new(),
+            started: now,
+        };
+        tokio::spawn(keeper.run());
+        outbox
+    }
+
+    async fn run(mut self) {
+        let mut ticks = self.timer.every(TICK);
+        let mut buffer = vec![0; MAX_DATAGRAM];
+        self.peer.set_seeds(self.seeds.all());
+        self.on_changed();
+        loop {
+            tokio::select! {
+                Ok((length, _)) = self.socket.recv_from(&mut buffer) => {
+                    self.on_datagram(&buffer[..length]);
+                }
+                message = self.inbox.recv() => match message {
+                    Some(message) => self.on_message(message),
+                    None => return,
+                },
+                Some(tick) = ticks.recv() => self.on_tick(tick),
+            }
         }
     }
 
-    /// Follows the platform in a task of its own.
-    pub fn start(mut self) {
-        tokio::spawn(async move {
-            loop {
-                if let Err(error) = self.follow().await {
-                    events::PLATFORM_LOST.emit(&[("reason", &error)]);
-                    tokio::time::sleep(RETRY).await;
+    fn on_datagram(&mut self, bytes: &[u8]) {
+        let Some(packet) = Packet::decode(bytes) else { return };
+        let now = self.timer.now();
+        self.pulse.beat(now);
+        let actions = self.peer.on_packet(packet, now, &mut self.rng);
+        self.act(actions);
+    }
+
+    fn on_tick(&mut self, tick: timer::Tick) {
+        let now = tick.now;
+        if tick.late >= PAUSE {
+            events::NODE_PAUSED.emit(&[("millis", &tick.late.as_millis())]);
+            self.peer.on_pause(now);
+        }
+        let actions = self.peer.tick(now, &mut self.rng);
+        self.act(actions);
+        if self.may_settle(now)
+            && let Some(bundle) = self.chain.tick(now)
+        {
+            self.on_accepted(bundle);
+        }
+        self.expire_leaving(now);
+        let alone = now.since(self.pulse.contact()) >= PAUSE;
+        self.pulse.set_isolated(alone && self.peer.is_isolated(now));
+    }
+
+    /// Returns whether this node has asked its peers before it trusts the platform.
+    fn may_settle(&self, now: Time) -> bool {
+        self.chain.in_force().is_some()
+            || self.peer.last_heard().is_some()
+            || now.since(self.started) >= BOOT_WAIT
+    }
+
+    fn on_message(&mut self, message: Message) {
+        let now = self.timer.now();
+        match message {
+            Message::Roster(records, reply) => {
+                let _ = reply.send(self.peer.roster().records().cloned().collect());
+                let actions = self.peer.on_roster(records, now);
+                self.act(actions);
+            }
+            Message::RosterFetched(records) => {
+                let actions = self.peer.on_roster(records, now);
+                self.act(actions);
+            }
+            Message::Config(wanted, held, reply) => {
+                let _ = reply.send(self.config_reply(wanted, held));
+            }
+            Message::ConfigFetched(stamp, origin, bundle) => {
+                self.fetching.remove(&stamp);
+                if let Some(bundle) = bundle {
+                    self.on_bundle(Arc::new(*bundle), origin);
                 }
-                if let Some(bundle) = self.chain.tick(self.timer.now()) {
-                    events::CONFIG_ACCEPTED.emit(&[("config", &bundle.stamp)]);
-                    self.view.config = Some(bundle);
-                    self.views.send_replace(Arc::new(self.view.clone()));
+            }
+            Message::Published(head) => {
+                self.pulse.beat(now);
+                self.on_published(head);
+            }
+            Message::PlatformHeard => self.pulse.beat(now),
+            Message::Vms(live, leaving) => self.on_vms(&live, &leaving),
+            Message::SeenLeaving(server) => self.on_seen_leaving(server),
+            Message::SeenCrash(fingerprint, server) => self.on_crash(fingerprint, server),
+            Message::Leave(done) => self.on_leave(done),
+        }
+    }
+
+    fn act(&mut self, actions: Vec<Action>) {
+        let mut changed = false;
+        for action in actions {
+            match action {
+                Action::Send(address, packet) => {
+                    // A datagram that is lost is made good by the next round.
+                    let _ = self.socket.try_send_to(&packet.encode(), address);
                 }
+                Action::Changed => changed = true,
+                Action::Tell(news, from) => self.on_news(news, from),
+                Action::Sync(address) => self.sync(address),
             }
-        });
+        }
+        if changed {
+            self.on_changed();
+        }
     }
 
-    async fn follow(&mut self) -> Result<(), platform::ReadError> {
-        let wait = if self.chain.candidate().is_some() { SETTLE / 4 } else { WATCH };
-        let Some((revision, head)) = self.platform.watch_head(self.revision, wait).await? else {
-            return Ok(());
+    /// Publishes the view and finds out whether this node reads the platform.
+    fn on_changed(&mut self) {
+        let own = self.peer.own().clone();
+        let records: Vec<_> = self.peer.roster().records().cloned().collect();
+        let near = records
+            .iter()
+            .filter(|it| it.data_centre == own.data_centre && it.takes_work())
+            .map(|it| &it.name);
+        let key = xxh3_64(own.data_centre.as_str().as_bytes());
+        let is_reader = place::rank(key, near, READERS).contains(&own.name);
+        self.reader.set_active(is_reader);
+        let member = |it: &Record| {
+            let member = Member { data_centre: it.data_centre.clone(), address: it.rpc };
+            (it.name.clone(), member)
         };
-        self.revision = revision;
-        let base = self.chain.in_force().cloned();
-        let bundle = self.platform.bundle(head, base.as_deref()).await?;
-        let verdict = self.chain.offer(Arc::new(bundle), Origin::Published, self.timer.now());
-        match verdict {
+        let config = self.chain.in_force().cloned();
+        let gates = records.iter().filter(|it| it.roles.gate && it.takes_work()).map(member);
+        let nodes = records.iter().filter(|it| it.state != State::Dead).map(member);
+        self.views.send_modify(|view| {
+            let is_same =
+                view.config.as_ref().map(|it| it.stamp) == config.as_ref().map(|it| it.stamp);
+            let set = match &config {
+                Some(bundle) if !is_same => Arc::new(bundle.set.clone()),
+                _ => view.set.clone(),
+            };
+            *view = Arc::new(View {
+                config,
+                set,
+                gates: gates.collect(),
+                nodes: nodes.collect(),
+                leaving: self.leaving.keys().cloned().collect(),
+            });
+        });
+    }
+
+    fn sync(&self, address: SocketAddr) {
+        let own = self.peer.roster().records().cloned().collect();
+        let outbox = self.outbox.clone();
+        tokio::spawn(async move {
+            if let Ok(records) = Client::new(address).roster(own).await {
+                let _ = outbox.send(Message::RosterFetched(records));
+            }
+        });
+    }
+
+    fn on_news(&mut self, news: News, from: SocketAddr) {
+        match news {
+            News::Member(_) => {}
+            News::Config { stamp, in_force } => self.on_stamp(stamp, in_force, from),
+            News::Leaving { server, round } => self.on_leaving(server, round),
+            News::Crash { fingerprint, server } => self.on_crash(fingerprint, server),
+        }
+    }
+
+    fn on_stamp(&mut self, stamp: Stamp, in_force: bool, from: SocketAddr) {
+        let origin = if in_force { Origin::InForce } else { Origin::Published };
+        if in_force && self.chain.contradicts(stamp) && self.conflicts.insert(stamp) {
+            let standing = self.chain.stamp().unwrap_or(stamp);
+            events::CONFIG_CONFLICT.emit(&[("standing", &standing), ("rival", &stamp)]);
+        }
+        if in_force && let Some(bundle) = self.chain.promote(stamp) {
+            self.on_accepted(bundle);
+            return;
+        }
+        if !self.chain.wants(stamp, origin) || self.fetching.contains_key(&stamp) {
+            return;
+        }
+        self.fetching.insert(stamp, origin);
+        let held = self.chain.in_force().cloned();
+        let outbox = self.outbox.clone();
+        tokio::spawn(async move {
+            let bundle = Client::new(from).config(stamp, held).await.ok().flatten();
+            let _ = outbox.send(Message::ConfigFetched(stamp, origin, bundle.map(Box::new)));
+        });
+    }
+
+    fn on_published(&mut self, head: Head) {
+        let stamp = head.stamp;
+        if !self.chain.wants(stamp, Origin::Published) || self.fetching.contains_key(&stamp) {
+            return;
+        }
+        self.fetching.insert(stamp, Origin::Published);
+        let held = self.chain.in_force().cloned();
+        let platform = self.platform.clone();
+        let outbox = self.outbox.clone();
+        tokio::spawn(async move {
+            let bundle = match platform.bundle(head, held.as_deref()).await {
+                Ok(bundle) => Some(Box::new(bundle)),
+                Err(error) => {
+                    events::PLATFORM_LOST.emit(&[("reason", &error)]);
+                    None
+                }
+            };
+            let _ = outbox.send(Message::ConfigFetched(stamp, Origin::Published, bundle));
+        });
+    }
+
+    fn on_bundle(&mut self, bundle: Arc<Bundle>, origin: Origin) {
+        let stamp = bundle.stamp;
+        match self.chain.offer(bundle, origin, self.timer.now()) {
+            Verdict::Accepted(bundle) => self.on_accepted(bundle),
+            Verdict::Waiting => self.announce(News::Config { stamp, in_force: false }),
+            Verdict::Known | Verdict::Stale => {}
             Verdict::Conflict { standing } => {
-                events::CONFIG_CONFLICT.emit(&[("standing", &standing)]);
+                events::CONFIG_CONFLICT.emit(&[("standing", &standing), ("rival", &stamp)]);
             }
             Verdict::Invalid(findings) => {
                 for finding in &findings {
-                    events::CONFIG_INVALID.emit(&[("finding", finding)]);
+                    events::CONFIG_INVALID.emit(&[("config", &stamp), ("finding", finding)]);
                 }
             }
-            _ => {}
         }
-        Ok(())
+    }
+
+    fn on_accepted(&mut self, bundle: Arc<Bundle>) {
+        events::CONFIG_ACCEPTED.emit(&[("config", &bundle.stamp)]);
+        if let Some(old) = &self.views.borrow().config {
+            self.history.push(old, &bundle);
+        }
+        self.peer.set_config(bundle.stamp);
+        self.on_changed();
+        self.announce(News::Config { stamp: bundle.stamp, in_force: true });
+    }
+
+    fn config_reply(&self, wanted: Stamp, held: Option<Stamp>) -> ConfigReply {
+        let in_force = self.chain.in_force();
+        let candidate = self.chain.candidate();
+        let found = in_force.into_iter().chain(candidate).find(|it| it.stamp == wanted);
+        let Some(found) = found else { return ConfigReply::Unknown };
+        let steps = held.and_then(|held| self.steps(held, found));
+        match steps {
+            Some(steps) => ConfigReply::Steps(steps),
+            None => ConfigReply::Whole(Box::new((**found).clone())),
+        }
+    }
+
+    /// Returns the steps that lead from a configuration in force here or earlier to `wanted`.
+    fn steps(&self, held: Stamp, wanted: &Bundle) -> Option<Vec<Step>> {
+        let in_force = self.chain.in_force()?;
+        let mut steps =
+            if held == in_force.stamp { Vec::new() } else { self.history.since(held)? };
+        if wanted.stamp != in_force.stamp {
+            steps.push(Step::between(in_force, wanted));
+        }
+        Some(steps)
+    }
+
+    fn on_vms(&mut self, live: &[IpAddr], leaving: &[IpAddr]) {
+        self.pulse.beat(self.timer.now());
+        self.seeds.set_listed(live);
+        self.peer.set_seeds(self.seeds.all());
+        let Some(bundle) = self.chain.in_force().cloned() else { return };
+        let leaving: Vec<_> = bundle
+            .set
+            .servers
+            .values()
+            .filter(|it| leaving.contains(&it.address.ip()))
+            .map(|it| it.name.clone())
+            .collect();
+        for server in leaving {
+            self.on_seen_leaving(server);
+        }
+    }
+
+    fn on_seen_leaving(&mut self, server: Name) {
+        let now = self.timer.now();
+        let known = self.leaving.get(&server);
+        if known.is_some_and(|it| now.since(it.at) < LEAVING_PERIOD) {
+            return;
+        }
+        let round = known.map_or(1, |it| it.round + 1);
+        self.on_leaving(server, round);
+    }
+
+    fn on_leaving(&mut self, server: Name, round: u32) {
+        let known = self.leaving.get(&server).copied();
+        if known.is_some_and(|it| it.round >= round) {
+            return;
+        }
+        self.leaving.insert(server.clone(), Sighting { round, at: self.timer.now() });
+        if known.is_none() {
+            events::SERVER_LEAVING.emit(&[("server", &server)]);
+            self.on_changed();
+        }
+        self.announce(News::Leaving { server, round });
+    }
+
+    fn expire_leaving(&mut self, now: Time) {
+        let before = self.leaving.len();
+        self.leaving.retain(|_, it| now.since(it.at) < LEAVING_TTL);
+        if self.leaving.len() != before {
+            self.on_changed();
+        }
+    }
+
+    fn on_crash(&mut self, fingerprint: Fingerprint, server: Name) {
+        let now = self.timer.now();
+        let is_new = self.quarantine.lock().expect("no holder of the lock panics").report(
+            fingerprint,
+            server.clone(),
+            now,
+        );
+        if !is_new {
+            return;
+        }
+        events::SERVER_CRASHED.emit(&[("server", &server), ("content", &fingerprint)]);
+        self.announce(News::Crash { fingerprint, server });
+    }
+
+    fn on_leave(&mut self, done: oneshot::Sender<()>) {
+        let now = self.timer.now();
+        let actions = self.peer.leave(now, &mut self.rng);
+        self.act(actions);
+        let _ = done.send(());
+    }
+
+    fn announce(&mut self, news: News) {
+        let actions = self.peer.announce(news, &mut self.rng);
+        self.act(actions);
     }
 }
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -1,9 +1,21 @@
 //! What a node knows of the fleet: the configuration in force and the other nodes.
 
+mod client;
 mod keeper;
+mod message;
+mod pulse;
+mod reader;
+mod rpc;
+mod seeds;
+mod server;
 mod view;
 
 pub use self::{
-    keeper::Keeper,
+    client::{Client, FetchError},
+    keeper::{Keeper, Parts},
+    message::Message,
+    pulse::Pulse,
+    rpc::{ConfigReply, PeerClient, PeerServer},
+    server::Server,
     view::{Member, View},
 };
--- a/crates/node/src/fleet/view.rs
+++ b/crates/node/src/fleet/view.rs
@@ -4,15 +4,22 @@
     sync::Arc,
 };
 
-use mimosabridge::{config::Bundle, name::Name};
+use mimosabridge::{
+    config::{Bundle, Set},
+    name::Name,
+};
 
 /// What a node knows of the fleet at one time.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     /// The configuration in force, if any.
     pub config: Option<Arc<Bundle>>,
+    /// The content of that configuration, shared with the decisions.
+    pub set: Arc<Set>,
     /// The gates that take new work.
     pub gates: BTreeMap<Name, Member>,
+    /// The nodes that are not dead.
+    pub nodes: BTreeMap<Name, Member>,
     /// The backend servers that are known to be leaving.
     pub leaving: HashSet<Name>,
 }
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -1,15 +1,18 @@
 use std::{
     collections::{BTreeSet, HashMap},
-    sync::Arc,
+    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use mimosabridge::{
     config::Bundle,
+    fingerprint::Fingerprint,
     gate::{self, Action, End, Gate, RANKED_GATES, Rank, Settings, Task},
     name::Name,
-    outcome::{Failure, Hint, Outcome},
+    outcome::{Failure, Hint, Outcome, Refusal},
     place::{self, Block},
+    quarantine::List,
+    time::Time,
     wire,
 };
 use tokio::sync::{mpsc, oneshot, watch};
@@ -18,7 +21,11 @@
     Message,
     job::{CallContext, Job},
 };
-use crate::{backend, fleet::View, timer};
+use crate::{
+    backend, events,
+    fleet::{self, Pulse, View},
+    timer,
+};
 
 /// How often expired tasks and silent connections are looked for.
 const TICK: Duration = Duration::from_millis(20);
@@ -26,11 +33,27 @@
 /// How often the servers that the gate is the primary of are asked for their health.
 const HEALTH_PERIOD: Duration = Duration::from_secs(1);
 
+/// What the actor of a gate is made of.
+pub struct Parts {
+    /// The name of this node.
+    pub name: Name,
+    /// The settings of the decisions.
+    pub settings: Settings,
+    /// The timers.
+    pub timer: timer::Service,
+    /// What is known of the fleet.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The contact of this node with the others.
+    pub pulse: Pulse,
+    /// The contents that crash backend servers.
+    pub quarantine: Arc<Mutex<List>>,
+    /// Where to tell what was seen of backend servers.
+    pub keeper: mpsc::UnboundedSender<fleet::Message>,
+}
+
 /// Drives the decisions of a [`Gate`]: one task owns them and takes messages in order.
 pub struct Actor {
-    name: Name,
-    timer: timer::Service,
-    view: watch::Receiver<Arc<View>>,
+    parts: Parts,
     inbox: mpsc::UnboundedReceiver<Message>,
     outbox: mpsc::UnboundedSender<Message>,
     gate: Gate,
@@ -39,25 +62,22 @@
     clients: HashMap<Name, backend::Client>,
     boots: HashMap<Name, u64>,
     next_task: u64,
+    held_since: Option<Time>,
+    isolated: bool,
     stopping: Option<oneshot::Sender<()>>,
 }
 
 impl Actor {
-    /// Starts the actor of the gate called `name` and returns where to send it messages.
-    pub fn start(
-        name: Name,
-        settings: Settings,
-        timer: timer::Service,
-        view: watch::Receiver<Arc<View>>,
-    ) -> mpsc::UnboundedSender<Message> {
+    /// Starts the actor of a gate and returns where to send it messages.
+    pub fn start(parts: Parts) -> mpsc::UnboundedSender<Message> {
         let (outbox, inbox) = mpsc::unbounded_channel();
         let actor = Actor {
-            name,
-            timer,
-            view,
+            gate: Gate::new(parts.settings),
+            parts,
             inbox,
             outbox: outbox.clone(),
-            gate: Gate::new(settings),
+            held_since: None,
+            isolated: false,
             jobs: HashMap::new(),
             calls: HashMap::new(),
             clients: HashMap::new(),
@@ -70,8 +90,8 @@
     }
 
     async fn run(mut self) {
-        let mut ticks = self.timer.every(TICK);
-        let mut polls = self.timer.every(HEALTH_PERIOD);
+        let mut ticks = self.parts.timer.every(TICK);
+        let mut polls = self.parts.timer.every(HEALTH_PERIOD);
         self.on_view();
         loop {
             tokio::select! {
@@ -79,12 +99,9 @@
                     Some(message) => self.on_message(message),
                     None => return,
                 },
-                Some(_) = ticks.recv() => {
-                    let actions = self.gate.tick(self.timer.now());
-                    self.act(actions);
-                }
+                Some(tick) = ticks.recv() => self.on_tick(tick),
                 Some(_) = polls.recv() => self.poll_health(),
-                Ok(()) = self.view.changed() => self.on_view(),
+                Ok(()) = self.parts.view.changed() => self.on_view(),
             }
             if self.has_stopped() {
                 return;
@@ -102,16 +119,44 @@
         true
     }
 
+    fn on_tick(&mut self, tick: timer::Tick) {
+        let now = tick.now;
+        if tick.late >= self.parts.settings.pause_limit {
+            self.gate.on_pause();
+            self.held_since = Some(now);
+        }
+        if self.parts.pulse.is_isolated() && !self.isolated {
+            self.isolated = true;
+            events::NODE_ISOLATED.emit(&[("isolated", &true)]);
+            let actions = self.gate.isolate(now);
+            self.act(actions);
+        }
+        let held_since = self.held_since.unwrap_or_default();
+        let is_held = self.isolated || self.held_since.is_some();
+        if is_held && !self.parts.pulse.is_isolated() && self.parts.pulse.contact() > held_since {
+            if self.isolated {
+                events::NODE_ISOLATED.emit(&[("isolated", &false)]);
+            }
+            self.isolated = false;
+            self.held_since = None;
+            let actions = self.gate.release(now);
+            self.act(actions);
+        }
+        let actions = self.gate.tick(now);
+        self.act(actions);
+    }
+
     fn on_message(&mut self, message: Message) {
         match message {
             Message::Call(call, items) => self.on_call(call, items),
             Message::Cancel(call, attempts) => self.on_cancel(call, &attempts),
             Message::Settled(task, end) => self.on_settled(task, end),
             Message::Health(server, asked, health) => {
-                let now = self.timer.now();
+                let now = self.parts.timer.now();
                 let actions = match health {
                     Some(health) => {
                         self.boots.insert(server.clone(), health.server.boot);
+                        self.note_leaving(&server, &health.server);
                         self.gate.on_health(&server, &health.server, asked, now)
                     }
                     None => self.gate.on_unreachable(&server, now),
@@ -126,9 +171,11 @@
     }
 
     fn on_call(&mut self, call: wire::Call, items: mpsc::UnboundedSender<wire::Item>) {
-        let now = self.timer.now();
+        let now = self.parts.timer.now();
+        let quarantined = self.is_quarantined(call.content);
         let context = Arc::new(CallContext {
             id: call.id,
+            content: call.content,
             class: call.class,
             snapshot: call.snapshot,
             query: Arc::from(call.query),
@@ -155,11 +202,22 @@
             };
             self.jobs.insert(id, job);
             self.calls.entry(context.id).or_default().insert(id);
-            let actions = self.gate.offer(task, now);
+            let actions = if quarantined {
+                let hint = self.gate.hint(&task.server, now);
+                vec![Action::Finish(id, Outcome::Refused(Refusal::Quarantined), hint)]
+            } else {
+                self.gate.offer(task, now)
+            };
             self.act(actions);
         }
     }
 
+    fn is_quarantined(&self, content: Fingerprint) -> bool {
+        let now = self.parts.timer.now();
+        let mut list = self.parts.quarantine.lock().expect("no holder of the lock panics");
+        list.is_quarantined(content, now)
+    }
+
     fn on_cancel(&mut self, call: u64, attempts: &[u32]) {
         let Some(tasks) = self.calls.get(&call) else { return };
         let wanted = |it: &u64| {
@@ -168,16 +226,24 @@
         };
         let tasks: Vec<_> = tasks.iter().copied().filter(wanted).collect();
         for task in tasks {
-            let actions = self.gate.cancel(task, self.timer.now());
+            let actions = self.gate.cancel(task, self.parts.timer.now());
             self.act(actions);
         }
     }
 
     fn on_settled(&mut self, task: u64, end: End) {
-        if let (Some(job), Some(report)) = (self.jobs.get(&task), &end.report) {
-            self.boots.insert(job.server.clone(), report.boot);
+        if let Some(job) = self.jobs.get(&task) {
+            let server = job.server.clone();
+            if let Some(report) = &end.report {
+                self.boots.insert(server.clone(), report.boot);
+                self.note_leaving(&server, report);
+            }
+            if matches!(end.outcome, Outcome::Failed(Failure::Crashed)) {
+                let news = fleet::Message::SeenCrash(job.call.content, server);
+                let _ = self.parts.keeper.send(news);
+            }
         }
-        let actions = self.gate.settle(task, end, self.timer.now());
+        let actions = self.gate.settle(task, end, self.parts.timer.now());
         if let Some(job) = self.jobs.get_mut(&task) {
             job.exchange = None;
         }
@@ -185,15 +251,21 @@
         self.forget(task);
     }
 
+    fn note_leaving(&self, server: &Name, report: &gate::Report) {
+        if report.condition == gate::Condition::Leaving {
+            let _ = self.parts.keeper.send(fleet::Message::SeenLeaving(server.clone()));
+        }
+    }
+
     fn on_view(&mut self) {
-        let view = self.view.borrow_and_update().clone();
+        let view = self.parts.view.borrow_and_update().clone();
         let Some(bundle) = &view.config else { return };
-        let now = self.timer.now();
+        let now = self.parts.timer.now();
         let ranks = self.ranks(bundle, &view);
         self.clients.retain(|name, client| {
             bundle.set.servers.get(name).is_some_and(|it| it.address == client.address())
         });
-        let mut actions = self.gate.reconfigure(Arc::new(bundle.set.clone()), ranks, now);
+        let mut actions = self.gate.reconfigure(view.set.clone(), ranks, now);
         for server in &view.leaving {
             actions.extend(self.gate.on_leaving(server, now));
         }
@@ -208,7 +280,7 @@
             let ranked = by_block
                 .entry(block)
                 .or_insert_with_key(|it| place::gates(it, &gates, RANKED_GATES as usize));
-            match ranked.iter().position(|it| *it == self.name) {
+            match ranked.iter().position(|it| *it == self.parts.name) {
                 Some(0) => drop(ranks.insert(server, Rank::Primary)),
                 Some(_) => drop(ranks.insert(server, Rank::Standby)),
                 None => {}
@@ -225,7 +297,7 @@
 
     fn probe(&mut self, server: &Name) {
         let Some(client) = self.client(server) else { return };
-        let asked = self.timer.now();
+        let asked = self.parts.timer.now();
         let server = server.clone();
         let outbox = self.outbox.clone();
         tokio::spawn(async move {
@@ -252,7 +324,7 @@
     }
 
     fn send(&mut self, task: u64) {
-        let now = self.timer.now();
+        let now = self.parts.timer.now();
         let Some(server) = self.jobs.get(&task).map(|it| it.server.clone()) else { return };
         let Some(client) = self.client(&server) else { return };
         let boot = self.boots.get(&server).copied();
@@ -320,8 +392,7 @@
         if let Some(client) = self.clients.get(server) {
             return Some(client.clone());
         }
-        let view = self.view.borrow().clone();
-        let set = &view.config.as_ref()?.set;
+        let set = self.parts.view.borrow().set.clone();
         let address = set.servers.get(server)?.address;
         let service = set.services.get(&set.servers.get(server)?.service)?;
         let share = (service.connections / RANKED_GATES).max(1);
--- a/crates/node/src/gate/job.rs
+++ b/crates/node/src/gate/job.rs
@@ -1,6 +1,6 @@
 use std::sync::Arc;
 
-use mimosabridge::{config::Class, name::Name, time::Time, wire};
+use mimosabridge::{config::Class, fingerprint::Fingerprint, name::Name, time::Time, wire};
 use serde_json::value::RawValue;
 use tokio::{sync::mpsc, task::AbortHandle};
 
@@ -26,6 +26,8 @@
 pub struct CallContext {
     /// The identity of the call.
     pub id: u64,
+    /// The fingerprint of the content.
+    pub content: Fingerprint,
     /// The priority class.
     pub class: Class,
     /// The version of the index to answer from.
--- a/crates/node/src/gate/mod.rs
+++ b/crates/node/src/gate/mod.rs
@@ -7,8 +7,8 @@
 mod server;
 
 pub use self::{
-    actor::Actor,
+    actor::{Actor, Parts},
     message::Message,
     rpc::{GateClient, GateServer},
-    server::{MAX_MESSAGE, Server},
+    server::Server,
 };
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod gate;
 pub mod node;
 pub mod platform;
+pub mod rpc;
 pub mod timer;
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -1,9 +1,8 @@
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use mimosabridge::name::Name;
 
 use super::Role;
-use crate::fleet::Member;
 
 /// The settings of a node, parsed once.
 #[derive(Clone, Debug)]
@@ -16,12 +15,18 @@
     pub roles: Vec<Role>,
     /// Where an entry takes callers.
     pub http_listen: SocketAddr,
-    /// Where a gate takes calls of entries.
+    /// Where the node takes calls of other nodes.
     pub rpc_listen: SocketAddr,
+    /// Where the node takes packets of other nodes.
+    pub peer_listen: SocketAddr,
+    /// Where other nodes reach this one, if not at the addresses it listens on.
+    pub advertise: Option<std::net::IpAddr>,
     /// Where the platform answers.
     pub platform: SocketAddr,
-    /// The gates of the fleet.
-    pub gates: Vec<(Name, Member)>,
+    /// Where other nodes may be found, besides the platform's list.
+    pub seeds: BTreeSet<SocketAddr>,
+    /// How long a planned stop keeps serving while the balancer moves callers.
+    pub drain: Duration,
     /// Threads that run tasks; as many as cores if not given.
     pub threads: Option<usize>,
 }
--- a/crates/node/src/node/options.rs
+++ b/crates/node/src/node/options.rs
@@ -1,10 +1,9 @@
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use mimosabridge::name::Name;
 use mimosabridge_cli::{Fault, Options};
 
 use super::{Config, Role};
-use crate::fleet::Member;
 
 /// The help text of the daemons.
 pub const USAGE: &str = "\
@@ -15,39 +14,36 @@
   --platform IP:PORT       where the platform answers (required)
   --http-listen IP:PORT    where callers connect (0.0.0.0:8080)
   --rpc-listen IP:PORT     where other nodes connect (0.0.0.0:8081)
-  --gates NAME@DC@IP:PORT  the gates of the fleet, separated by commas
+  --peer-listen IP:PORT    where other nodes send packets (0.0.0.0:8082)
+  --advertise IP           where other nodes reach this one (required with 0.0.0.0)
+  --seeds IP:PORT,...      packet addresses of other nodes, besides the platform's list of VMs
+  --drain-ms N             how long a planned stop keeps serving callers (5000)
   --threads N              threads that run tasks (one per core)
   --help                   this text";
 
 /// Parses the options of a node that plays `roles`.
 pub fn parse(mut options: Options, roles: &[Role]) -> Result<Config, Fault> {
-    let any = SocketAddr::from(([0, 0, 0, 0], 0));
+    let any = |port| SocketAddr::from(([0, 0, 0, 0], port));
     let name: String = options.required("--name", String::new());
     let data_centre: String = options.required("--data-centre", String::new());
-    let mut gates = Vec::new();
-    for text in options.list::<String>("--gates") {
-        match gate(&text) {
-            Some(gate) => gates.push(gate),
-            None => options.reject(format!("`{text}` in `--gates` is not NAME@DC@IP:PORT")),
-        }
-    }
     let config = Config {
         name: Name::new(name),
         data_centre: Name::new(data_centre),
         roles: roles.to_vec(),
-        http_listen: options.or("--http-listen", SocketAddr::from(([0, 0, 0, 0], 8080))),
-        rpc_listen: options.or("--rpc-listen", SocketAddr::from(([0, 0, 0, 0], 8081))),
-        platform: options.required("--platform", any),
-        gates,
+        http_listen: options.or("--http-listen", any(8080)),
+        rpc_listen: options.or("--rpc-listen", any(8081)),
+        peer_listen: options.or("--peer-listen", any(8082)),
+        advertise: options.optional("--advertise"),
+        platform: options.required("--platform", any(0)),
+        seeds: options.list("--seeds").into_iter().collect(),
+        drain: Duration::from_millis(options.or("--drain-ms", 5_000)),
         threads: options.optional("--threads"),
     };
+    let unspecified =
+        [config.rpc_listen, config.peer_listen].iter().any(|it| it.ip().is_unspecified());
+    if unspecified && config.advertise.is_none() {
+        options.reject("`--advertise` is missing; name the IP number of this VM".into());
+    }
     options.finish()?;
     Ok(config)
 }
-
-fn gate(text: &str) -> Option<(Name, Member)> {
-    let mut parts = text.split('@');
-    let (name, data_centre, address) = (parts.next()?, parts.next()?, parts.next()?);
-    let address = address.parse().ok()?;
-    Some((Name::from(name), Member { data_centre: Name::from(data_centre), address }))
-}
--- a/crates/node/src/node/run.rs
+++ b/crates/node/src/node/run.rs
@@ -1,57 +1,133 @@
-use std::{net::SocketAddr, sync::Arc, time::SystemTime};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, SystemTime},
+};
 
-use jsonrpsee::server::ServerHandle;
-use mimosabridge::{gate::Settings, name::Name};
+use jsonrpsee::{RpcModule, server::ServerHandle};
+use mimosabridge::{
+    gate::Settings,
+    member::{Incarnation, Record, Roles, State},
+    name::Name,
+    quarantine::List,
+};
 use mimosabridge_cli::Fault;
 use poem::listener::{Acceptor, Listener, TcpListener};
 use snafu::ResultExt;
 use tokio::{
+    net::UdpSocket,
     signal::unix::{SignalKind, signal},
     sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
 };
 use tokio_util::sync::CancellationToken;
 
 use super::{Config, Role};
 use crate::{
     clock::Clock,
-    entry::{self, Front},
+    entry::{self, Front, Home, HomeServer},
     events,
-    fleet::{Keeper, View},
-    gate, timer,
+    fleet::{self, Keeper, PeerServer, Pulse, View},
+    gate::{self, GateServer},
+    platform, rpc, timer,
 };
 
+/// How long a stopping node stays to answer other nodes after its own work is done.
+const FAREWELL: Duration = Duration::from_millis(500);
+
 /// A running node.
 pub struct Node {
     name: Name,
+    drain: Duration,
+    timer: timer::Service,
     http_address: Option<SocketAddr>,
-    rpc_address: Option<SocketAddr>,
+    record: Record,
+    keeper: mpsc::UnboundedSender<fleet::Message>,
+    view: watch::Receiver<Arc<View>>,
+    gate: Option<mpsc::UnboundedSender<gate::Message>>,
+    entry: Option<Entry>,
+    server: ServerHandle,
+}
+
+/// The entry part of a node.
+struct Entry {
+    front: Arc<Front>,
+    home: Home,
     stopping: CancellationToken,
-    gate: Option<(mpsc::UnboundedSender<gate::Message>, ServerHandle)>,
-    entry: Option<tokio::task::JoinHandle<std::io::Result<()>>>,
+    task: JoinHandle<std::io::Result<()>>,
+}
+
+/// What the parts of a node share.
+struct Shared {
+    boot: u64,
+    timer: timer::Service,
+    view: watch::Receiver<Arc<View>>,
+    pulse: Pulse,
+    quarantine: Arc<Mutex<List>>,
+    keeper: mpsc::UnboundedSender<fleet::Message>,
 }
 
 impl Node {
-    /// Starts a node: binds its addresses and follows the platform.
+    /// Starts a node: binds its addresses, joins the fleet and follows the platform.
     pub async fn start(config: Config) -> Result<Node, Fault> {
         let timer = timer::Service::start(Clock::new());
-        let (sender, view) = watch::channel(Arc::new(View::default()));
-        let mut node = Node {
+        let (views, view) = watch::channel(Arc::new(View::default()));
+        let pulse = Pulse::new();
+        let quarantine = Arc::new(Mutex::new(List::new()));
+        let boot = boot();
+        let listener = bound(rpc::bind(config.rpc_listen).await, config.rpc_listen)?;
+        let socket = bound(UdpSocket::bind(config.peer_listen).await, config.peer_listen)?;
+        let record = Record {
             name: config.name.clone(),
-            http_address: None,
-            rpc_address: None,
-            stopping: CancellationToken::new(),
-            gate: None,
-            entry: None,
+            data_centre: config.data_centre.clone(),
+            roles: Roles {
+                entry: config.roles.contains(&Role::Entry),
+                gate: config.roles.contains(&Role::Gate),
+            },
+            peer: reachable(bound(socket.local_addr(), config.peer_listen)?, &config),
+            rpc: reachable(bound(listener.local_addr(), config.rpc_listen)?, &config),
+            incarnation: Incarnation { boot, refutation: 0 },
+            state: State::Alive,
         };
-        Keeper::new(&config, timer.clone(), sender).start();
-        if config.roles.contains(&Role::Gate) {
-            node.start_gate(&config, timer.clone(), view.clone()).await?;
+        let keeper = Keeper::start(fleet::Parts {
+            own: record.clone(),
+            socket,
+            seeds: config.seeds.clone(),
+            platform: platform::Client::new(config.platform),
+            timer: timer.clone(),
+            views,
+            pulse: pulse.clone(),
+            quarantine: quarantine.clone(),
+        });
+        let mut methods = RpcModule::new(());
+        merge(&mut methods, fleet::Server::new(keeper.clone()).into_rpc())?;
+        let shared = Shared { boot, timer, view, pulse, quarantine, keeper };
+        let gate = if record.roles.gate { Some(start_gate(&config, &shared)) } else { None };
+        if let Some(actor) = &gate {
+            merge(&mut methods, gate::Server::new(actor.clone()).into_rpc())?;
         }
-        if config.roles.contains(&Role::Entry) {
-            node.start_entry(&config, timer, view).await?;
+        let mut http_address = None;
+        let mut entry = None;
+        if record.roles.entry {
+            let (address, started) = start_entry(&config, &shared).await?;
+            merge(&mut methods, started.home.clone().into_rpc())?;
+            http_address = address;
+            entry = Some(started);
         }
-        events::NODE_STARTED.emit(&[("node", &node.name), ("data_centre", &config.data_centre)]);
-        Ok(node)
+        let server = bound(rpc::serve(listener, methods), config.rpc_listen)?;
+        events::NODE_STARTED.emit(&[("node", &config.name), ("data_centre", &config.data_centre)]);
+        Ok(Node {
+            name: config.name,
+            drain: config.drain,
+            timer: shared.timer,
+            http_address,
+            record,
+            keeper: shared.keeper,
+            view: shared.view,
+            gate,
+            entry,
+            server,
+        })
     }
 
     /// Returns where callers connect, if the node is an entry.
@@ -59,9 +135,14 @@
         self.http_address
     }
 
-    /// Returns where entries connect, if the node is a gate.
-    pub fn rpc_address(&self) -> Option<SocketAddr> {
-        self.rpc_address
+    /// Returns the record of the node as it started.
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Returns what the node knows of the fleet.
+    pub fn view(&self) -> watch::Receiver<Arc<View>> {
+        self.view.clone()
     }
 
     /// Serves until the process is told to stop, then stops as planned.
@@ -76,59 +157,84 @@
         Ok(())
     }
 
-    /// Stops as planned: takes nothing new, finishes what it has, and ends.
+    /// Stops as planned: tells the balancer and the other nodes, keeps serving while they move,
+    /// finishes what it has, and ends.
     pub async fn stop(self) {
         events::NODE_STOPPING.emit(&[("node", &self.name)]);
-        self.stopping.cancel();
+        if let Some(entry) = &self.entry {
+            entry.front.set_stopping();
+        }
+        let (done, left) = oneshot::channel();
+        let _ = self.keeper.send(fleet::Message::Leave(done));
+        let _ = left.await;
+        let _ = self.timer.at(self.timer.now() + self.drain).await;
         if let Some(entry) = self.entry {
-            let _ = entry.await;
+            entry.stopping.cancel();
+            let _ = entry.task.await;
+            entry.home.drain().await;
         }
-        if let Some((actor, server)) = self.gate {
+        if let Some(actor) = self.gate {
             let (done, finished) = oneshot::channel();
             let _ = actor.send(gate::Message::Stop(done));
             let _ = finished.await;
-            let _ = server.stop();
         }
+        let _ = self.timer.at(self.timer.now() + FAREWELL).await;
+        let _ = self.server.stop();
         events::NODE_STOPPED.emit(&[("node", &self.name)]);
     }
+}
 
-    async fn start_gate(
-        &mut self,
-        config: &Config,
-        timer: timer::Service,
-        view: watch::Receiver<Arc<View>>,
-    ) -> Result<(), Fault> {
-        let actor = gate::Actor::start(config.name.clone(), Settings::new(), timer, view);
-        let listen = config.rpc_listen;
-        let started = gate::Server::start(listen, actor.clone()).await;
-        let (address, server) =
-            started.with_whatever_context(|_| format!("cannot listen on {listen}"))?;
-        self.rpc_address = Some(address);
-        self.gate = Some((actor, server));
-        Ok(())
-    }
+fn start_gate(config: &Config, shared: &Shared) -> mpsc::UnboundedSender<gate::Message> {
+    gate::Actor::start(gate::Parts {
+        name: config.name.clone(),
+        settings: Settings::new(),
+        timer: shared.timer.clone(),
+        view: shared.view.clone(),
+        pulse: shared.pulse.clone(),
+        quarantine: shared.quarantine.clone(),
+        keeper: shared.keeper.clone(),
+    })
+}
 
-    async fn start_entry(
-        &mut self,
-        config: &Config,
-        timer: timer::Service,
-        view: watch::Receiver<Arc<View>>,
-    ) -> Result<(), Fault> {
-        let front = Arc::new(Front::new(config.data_centre.clone(), boot(), timer, view));
-        tokio::spawn(front.clone().follow());
-        let listen = config.http_listen;
-        let acceptor = TcpListener::bind(listen).into_acceptor().await;
-        let acceptor = acceptor.with_whatever_context(|_| format!("cannot listen on {listen}"))?;
-        self.http_address =
-            acceptor.local_addr().first().and_then(|it| it.as_socket_addr().copied());
-        let stopping = self.stopping.clone();
-        let server = poem::Server::new_with_acceptor(acceptor);
-        self.entry = Some(tokio::spawn(async move {
-            let signal = stopping.cancelled_owned();
-            server.run_with_graceful_shutdown(entry::routes(front), signal, None).await
-        }));
-        Ok(())
+async fn start_entry(
+    config: &Config,
+    shared: &Shared,
+) -> Result<(Option<SocketAddr>, Entry), Fault> {
+    let front = Arc::new(Front::new(
+        config.data_centre.clone(),
+        shared.boot,
+        shared.timer.clone(),
+        shared.view.clone(),
+        shared.pulse.clone(),
+        shared.quarantine.clone(),
+    ));
+    let home = Home::new(config.name.clone(), shared.boot, front.clone());
+    tokio::spawn(front.clone().follow());
+    let listen = config.http_listen;
+    let acceptor = bound(TcpListener::bind(listen).into_acceptor().await, listen)?;
+    let address = acceptor.local_addr().first().and_then(|it| it.as_socket_addr().copied());
+    let stopping = CancellationToken::new();
+    let signal = stopping.clone().cancelled_owned();
+    let server = poem::Server::new_with_acceptor(acceptor);
+    let routes = entry::routes(front.clone(), home.clone());
+    let task = tokio::spawn(server.run_with_graceful_shutdown(routes, signal, None));
+    Ok((address, Entry { front, home, stopping, task }))
+}
+
+fn bound<T>(result: std::io::Result<T>, address: SocketAddr) -> Result<T, Fault> {
+    result.with_whatever_context(|_| format!("cannot listen on {address}"))
+}
+
+fn merge<T>(methods: &mut RpcModule<()>, more: RpcModule<T>) -> Result<(), Fault> {
+    methods.merge(more).whatever_context("two parts of the node serve the same method")
+}
+
+/// Returns where other nodes reach an address that this node listens on.
+fn reachable(mut address: SocketAddr, config: &Config) -> SocketAddr {
+    if let Some(ip) = config.advertise {
+        address.set_ip(ip);
     }
+    address
 }
 
 /// Returns a number that tells this process from its earlier ones.
