Test membership and the spread of news on a mesh of eighteen peers

Cause: nothing showed that a crash, a sleep, a split or lost packets leave every node with the same roster, nor that packets stay within their bound.

Ruled out: counting suspects as lost. With a fifth of all packets lost some node is always suspect for a moment; it still takes work, and routes use it.

--- a/crates/core/tests/features/main.rs
+++ b/crates/core/tests/features/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, one file a feature.
 
+mod mesh;
 mod world;
 
 mod admission;
@@ -9,6 +10,7 @@
 mod config_check;
 mod config_race;
 mod fault_matrix;
+mod membership;
 mod placement;
 mod quarantine;
 mod queue_order;
