Test whole nodes against stand-ins, and mend what that showed

Cause: the wiring between decisions, sockets and libraries was untested.

Found, each first failing, then passing: - a caller that closed its connection cancelled nothing: poem awaits a handler even after its connection has ended. The stream now watches for the end and cancels a token that the handler finds by the caller's address; - when the connections to both replicas of a shard had gone silent, each server was tried once and given up, although new connections worked. A silent connection no longer bars its server, and a lost gate bars only itself: every target now has a way through the next gate of the block. Also: a canary that straggles is hedged before the other shards are released.

Ruled out: hyper's own detection of a closed connection (it works, and poem drives the connection on after it), and a longer list of replicas.

Conclusion: cancellation reaches the server; both replicas silent is survived.

--- a/crates/core/src/gate/searcher.rs
+++ b/crates/core/src/gate/searcher.rs
@@ -280,7 +280,7 @@
             let Some(flight) = self.flights.remove(&id) else { continue };
             actions.push(Action::Close(id));
             if !flight.finished {
-                let outcome = Outcome::Failed(Failure::TimedOut);
+                let outcome = Outcome::Failed(Failure::Silent);
                 actions.push(Action::Finish(id, outcome, self.hint(now)));
             }
         }
--- a/crates/core/src/outcome/failure.rs
+++ b/crates/core/src/outcome/failure.rs
@@ -10,6 +10,8 @@
     Crashed,
     /// No reply came in time.
     TimedOut,
+    /// The connection went silent, while the server answers on new ones.
+    Silent,
     /// The request was cancelled after it was sent.
     Cancelled,
     /// The server replied with an error.
--- a/crates/core/src/outcome/refusal.rs
+++ b/crates/core/src/outcome/refusal.rs
@@ -48,6 +48,17 @@
     pub fn is_overload(&self) -> bool {
         matches!(self, Refusal::QueueFull | Refusal::Shed | Refusal::Overloaded)
     }
+
+    /// Returns whether the gate refused for its own sake, so that another gate may serve.
+    pub fn blames_gate(&self) -> bool {
+        matches!(
+            self,
+            Refusal::GateLeaving
+                | Refusal::GateUnreachable
+                | Refusal::Isolated
+                | Refusal::UnknownServer
+        )
+    }
 }
 
 impl fmt::Display for Refusal {
--- a/crates/core/src/query/run.rs
+++ b/crates/core/src/query/run.rs
@@ -12,6 +12,9 @@
 /// Attempts at one shard, hedges included.
 const MAX_ATTEMPTS: usize = 4;
 
+/// How many times the hedge delay the other shards wait for the first reply of a canary.
+const CANARY_WAIT: u32 = 3;
+
 /// The part of the shards, as a divisor, that must lack the snapshot for a restart.
 const RESTART_DIVISOR: usize = 4;
 
@@ -34,7 +37,10 @@
 #[derive(Clone, Debug)]
 struct Leg {
     target: Target,
-    tried: Vec<Route>,
+    attempts: usize,
+    /// Gates and servers that are of no more use to this leg, or are being tried.
+    barred_gates: BTreeSet<Name>,
+    barred_servers: BTreeSet<Name>,
     last_sent: Option<Time>,
     reply: Option<Reply>,
     missing: Option<Missing>,
@@ -45,7 +51,7 @@
 #[derive(Clone, Debug)]
 struct Flight {
     leg: usize,
-    server: Name,
+    route: Route,
     paid: bool,
 }
 
@@ -98,10 +104,10 @@
     /// Returns when [`Run::on_time`] must be called next.
     pub fn wake_at(&self) -> Time {
         let hedges = self.legs.iter().filter(|it| self.can_hedge(it));
+        let hedge = hedges.filter_map(|it| it.last_sent).min().map(|it| it + self.plan.hedge_after);
         let held_since = self.started.filter(|_| !self.released && self.crashed.is_empty());
-        let oldest = hedges.filter_map(|it| it.last_sent).chain(held_since).min();
-        let due = oldest.map(|it| it + self.plan.hedge_after);
-        due.map_or(self.plan.deadline, |it| it.min(self.plan.deadline))
+        let release = held_since.map(|it| it + self.plan.hedge_after * CANARY_WAIT);
+        hedge.into_iter().chain(release).fold(self.plan.deadline, Time::min)
     }
 
     /// Takes the outcome of an attempt.
@@ -188,6 +194,9 @@
             self.legs[flight.leg].lacks_snapshot = true;
             self.newer = self.newer.max(versions.iter().copied().max());
         }
+        if refusal.blames_gate() {
+            self.legs[flight.leg].blame_gate(&flight.route);
+        }
         self.note(flight.leg, Missing::NotRun(refusal));
         self.retry(flight.leg, price, now, budget)
     }
@@ -200,9 +209,14 @@
         budget: &mut Budget,
     ) -> Vec<Action> {
         self.may_have_run = true;
+        match failure {
+            Failure::GateLost => self.legs[flight.leg].blame_gate(&flight.route),
+            Failure::Silent => self.legs[flight.leg].excuse_server(&flight.route),
+            _ => {}
+        }
         self.note(flight.leg, Missing::Unknown(failure));
         if failure == Failure::Crashed {
-            self.crashed.insert(flight.server.clone());
+            self.crashed.insert(flight.route.server.clone());
             if self.crashed.len() >= CONVICTING_CRASHES {
                 return self.convict();
             }
@@ -275,7 +289,8 @@
             return Vec::new();
         }
         let served = self.legs.iter().any(|it| it.reply.is_some());
-        let waited = self.started.is_some_and(|it| it + self.plan.hedge_after <= now);
+        let wait = self.plan.hedge_after * CANARY_WAIT;
+        let waited = self.started.is_some_and(|it| it + wait <= now);
         let harmless = self.crashed.is_empty() && (waited || self.attempts.is_empty());
         if !served && !harmless {
             return Vec::new();
@@ -285,9 +300,8 @@
     }
 
     fn send_first(&mut self, legs: std::ops::Range<usize>, now: Time) -> Vec<Action> {
-        let unsent: Vec<_> = legs
-            .filter(|it| self.legs[*it].tried.is_empty() && !self.legs[*it].is_done())
-            .collect();
+        let unsent: Vec<_> =
+            legs.filter(|it| self.legs[*it].attempts == 0 && !self.legs[*it].is_done()).collect();
         unsent.into_iter().filter_map(|it| self.send(it, false, now)).collect()
     }
 
@@ -298,9 +312,10 @@
         };
         let id = self.next_attempt;
         self.next_attempt += 1;
-        self.legs[leg].tried.push(route.clone());
+        self.legs[leg].attempts += 1;
+        self.legs[leg].barred_servers.insert(route.server.clone());
         self.legs[leg].last_sent = Some(now);
-        self.attempts.insert(id, Flight { leg, server: route.server.clone(), paid });
+        self.attempts.insert(id, Flight { leg, route: route.clone(), paid });
         let shard = self.legs[leg].target.shard.clone();
         Some(Action::Send(Attempt { id, shard, route, deadline: self.plan.deadline }))
     }
@@ -380,7 +395,9 @@
     fn new(target: Target) -> Leg {
         Leg {
             target,
-            tried: Vec::new(),
+            attempts: 0,
+            barred_gates: BTreeSet::new(),
+            barred_servers: BTreeSet::new(),
             last_sent: None,
             reply: None,
             missing: None,
@@ -392,15 +409,25 @@
         self.reply.is_some() || self.missing.is_some()
     }
 
-    /// Returns the best route whose server was not tried, while attempts are left.
+    /// Returns the best route that is of use, while attempts are left.
     fn next_route(&self) -> Option<&Route> {
-        if self.tried.len() >= MAX_ATTEMPTS {
+        if self.attempts >= MAX_ATTEMPTS {
             return None;
         }
-        self.target.routes.iter().find(|it| !self.was_tried(it))
+        let is_of_use = |it: &&Route| {
+            !self.barred_servers.contains(&it.server) && !self.barred_gates.contains(&it.gate)
+        };
+        self.target.routes.iter().find(is_of_use)
+    }
+
+    /// Lets the server of an attempt be tried again, because not the server was to blame.
+    fn excuse_server(&mut self, route: &Route) {
+        self.barred_servers.remove(&route.server);
     }
 
-    fn was_tried(&self, route: &Route) -> bool {
-        self.tried.iter().any(|it| it.server == route.server)
+    /// Lets the server of an attempt be tried again through another gate.
+    fn blame_gate(&mut self, route: &Route) {
+        self.barred_servers.remove(&route.server);
+        self.barred_gates.insert(route.gate.clone());
     }
 }
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -150,10 +150,19 @@
             .collect();
         ranked.sort_by_key(|(cost, _)| *cost);
         self.explore(&mut ranked, now, rng);
-        let routes = ranked.into_iter().map(|(_, route)| route).collect();
+        let mut routes: Vec<_> = ranked.into_iter().map(|(_, route)| route).collect();
+        let detours: Vec<_> = routes.iter().filter_map(|it| self.detour(it)).collect();
+        routes.extend(detours);
         Target { shard: shard.name.clone(), routes }
     }
 
+    /// Returns the way to the same server through the next gate of its block.
+    fn detour(&self, route: &Route) -> Option<Route> {
+        let ranked = self.ranked.get(self.blocks.get(&route.server)?)?;
+        let gate = ranked.iter().find(|it| **it != route.gate)?.clone();
+        Some(Route { server: route.server.clone(), gate })
+    }
+
     fn takes_work(&self, server: &Server) -> bool {
         self.config.is_open(&server.data_centre) && !self.leaving.contains(&server.name)
     }
--- /dev/null
+++ b/crates/node/src/entry/callers/stream.rs
@@ -0,0 +1,72 @@
+use std::{
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll, ready},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+use tokio_util::sync::CancellationToken;
+
+use super::Registry;
+
+/// The stream of one caller.
+#[derive(Debug)]
+pub struct CallerStream {
+    stream: TcpStream,
+    caller: SocketAddr,
+    registry: Registry,
+    gone: CancellationToken,
+}
+
+impl CallerStream {
+    /// Wraps an accepted stream.
+    pub fn new(stream: TcpStream, caller: SocketAddr, registry: Registry) -> CallerStream {
+        let gone = registry.open(caller);
+        CallerStream { stream, caller, registry, gone }
+    }
+}
+
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        self.gone.cancel();
+        self.registry.close(self.caller);
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        let is_end = buf.filled().len() == filled && buf.remaining() > 0;
+        if result.is_err() || is_end {
+            self.gone.cancel();
+        }
+        Poll::Ready(result)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -9,12 +9,11 @@
     Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler,
     http::StatusCode,
     post,
-    web::{Data, Json, Path},
+    web::{Data, Json, Path, RemoteAddr},
 };
 use serde::Serialize;
-use tokio_util::sync::CancellationToken;
 
-use super::{Front, Home, Input, Request};
+use super::{Front, Home, Input, Request, callers::Registry};
 
 /// The body of a response to input that is wrong.
 #[derive(Debug, Serialize)]
@@ -29,7 +28,7 @@
 }
 
 /// Returns the HTTP service for callers.
-pub fn routes(front: Arc<Front>, home: Home) -> impl Endpoint {
+pub fn routes(front: Arc<Front>, home: Home, callers: Registry) -> impl Endpoint {
     Route::new()
         .at("/v1/query", post(query))
         .at("/v1/tickets", post(issue))
@@ -37,10 +36,17 @@
         .at("/health", get(health))
         .data(front)
         .data(home)
+        .data(callers)
 }
 
 #[handler]
-async fn query(front: Data<&Arc<Front>>, home: Data<&Home>, body: Vec<u8>) -> Response {
+async fn query(
+    front: Data<&Arc<Front>>,
+    home: Data<&Home>,
+    callers: Data<&Registry>,
+    caller: &RemoteAddr,
+    body: Vec<u8>,
+) -> Response {
     let input = match serde_json::from_slice::<Input>(&body) {
         Ok(input) => input,
         Err(error) => {
@@ -53,10 +59,9 @@
         (Some(ticket), _) => home.submit(ticket, request).await,
         (None, false) => Answer::not_run(Refusal::TicketMissing),
         (None, true) => {
-            // Dropping this future, as happens when the caller goes, drops the guard and cancels.
-            let cancelled = CancellationToken::new();
-            let _guard = cancelled.clone().drop_guard();
-            front.serve(request, cancelled).await
+            let address = caller.as_socket_addr();
+            let gone = address.and_then(|it| callers.token(*it)).unwrap_or_default();
+            front.serve(request, gone).await
         }
     };
     answered(answer)
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -1,5 +1,7 @@
 //! The entry daemon: takes callers, plans their queries, calls gates and answers.
 
+pub mod callers;
+
 mod front;
 mod home;
 mod http;
--- a/crates/node/src/node/run.rs
+++ b/crates/node/src/node/run.rs
@@ -6,13 +6,13 @@
 
 use jsonrpsee::{RpcModule, server::ServerHandle};
 use mimosabridge::{
+    fingerprint::Fingerprint,
     gate::Settings,
     member::{Incarnation, Record, Roles, State},
     name::Name,
     quarantine::List,
 };
 use mimosabridge_cli::Fault;
-use poem::listener::{Acceptor, Listener, TcpListener};
 use snafu::ResultExt;
 use tokio::{
     net::UdpSocket,
@@ -25,7 +25,10 @@
 use super::{Config, Role};
 use crate::{
     clock::Clock,
-    entry::{self, Front, Home, HomeServer},
+    entry::{
+        self, Front, Home, HomeServer,
+        callers::{CallerAcceptor, Registry},
+    },
     events,
     fleet::{self, Keeper, PeerServer, Pulse, View},
     gate::{self, GateServer},
@@ -44,6 +47,7 @@
     record: Record,
     keeper: mpsc::UnboundedSender<fleet::Message>,
     view: watch::Receiver<Arc<View>>,
+    quarantine: Arc<Mutex<List>>,
     gate: Option<mpsc::UnboundedSender<gate::Message>>,
     entry: Option<Entry>,
     server: ServerHandle,
@@ -111,7 +115,7 @@
         if record.roles.entry {
             let (address, started) = start_entry(&config, &shared).await?;
             merge(&mut methods, started.home.clone().into_rpc())?;
-            http_address = address;
+            http_address = Some(address);
             entry = Some(started);
         }
         let server = bound(rpc::serve(listener, methods), config.rpc_listen)?;
@@ -124,6 +128,7 @@
             record,
             keeper: shared.keeper,
             view: shared.view,
+            quarantine: shared.quarantine,
             gate,
             entry,
             server,
@@ -145,6 +150,13 @@
         self.view.clone()
     }
 
+    /// Returns whether the node refuses a content because it crashed servers.
+    pub fn is_quarantined(&self, content: Fingerprint) -> bool {
+        let now = self.timer.now();
+        let mut list = self.quarantine.lock().expect("no holder of the lock panics");
+        list.is_quarantined(content, now)
+    }
+
     /// Serves until the process is told to stop, then stops as planned.
     pub async fn serve(self) -> Result<(), Fault> {
         let mut terminate =
@@ -196,10 +208,7 @@
     })
 }
 
-async fn start_entry(
-    config: &Config,
-    shared: &Shared,
-) -> Result<(Option<SocketAddr>, Entry), Fault> {
+async fn start_entry(config: &Config, shared: &Shared) -> Result<(SocketAddr, Entry), Fault> {
     let front = Arc::new(Front::new(
         config.data_centre.clone(),
         shared.boot,
@@ -211,12 +220,13 @@
     let home = Home::new(config.name.clone(), shared.boot, front.clone());
     tokio::spawn(front.clone().follow());
     let listen = config.http_listen;
-    let acceptor = bound(TcpListener::bind(listen).into_acceptor().await, listen)?;
-    let address = acceptor.local_addr().first().and_then(|it| it.as_socket_addr().copied());
+    let callers = Registry::new();
+    let acceptor = bound(CallerAcceptor::bind(listen, callers.clone()).await, listen)?;
+    let address = acceptor.address();
     let stopping = CancellationToken::new();
     let signal = stopping.clone().cancelled_owned();
     let server = poem::Server::new_with_acceptor(acceptor);
-    let routes = entry::routes(front.clone(), home.clone());
+    let routes = entry::routes(front.clone(), home.clone(), callers);
     let task = tokio::spawn(server.run_with_graceful_shutdown(routes, signal, None));
     Ok((address, Entry { front, home, stopping, task }))
 }
--- /dev/null
+++ b/crates/node/tests/fleet/env/mod.rs
@@ -0,0 +1,213 @@
+//! A test environment: a small fleet in one process, with stand-ins for servers and platform.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use mimosabridge::{
+    config::{Bundle, Change, Document, Head, Set, Stamp},
+    name::Name,
+};
+use mimosabridge_node::node::{Config, Node, Role};
+use mimosabridge_standin::{
+    platform::Platform,
+    searcher::{Searcher, Spec, Stats},
+};
+use serde_json::{Value, json};
+
+/// A wait that ends a test which can never pass. It is no bound on speed.
+const GIVE_UP: Duration = Duration::from_secs(60);
+
+const POLL: Duration = Duration::from_millis(20);
+
+/// The data centres of the fleet.
+pub const PLACES: [&str; 2] = ["a", "b"];
+
+/// A fleet: in each data centre one entry, one gate and one server for each of three shards.
+pub struct Fleet {
+    pub platform: Platform,
+    pub searchers: BTreeMap<String, Searcher>,
+    pub nodes: BTreeMap<String, Node>,
+    pub bundle: Bundle,
+    http: reqwest::Client,
+}
+
+impl Fleet {
+    /// Starts a fleet whose servers are alike, and waits until it is ready.
+    pub async fn start(spec: Spec) -> Fleet {
+        let mut searchers = BTreeMap::new();
+        for place in PLACES {
+            for number in 1..=3 {
+                let searcher = Searcher::start(local(), spec.clone()).await;
+                let searcher = searcher.expect("a free port is found");
+                searchers.insert(format!("{place}{number}"), searcher);
+            }
+        }
+        let bundle = Bundle::first(config(&searchers));
+        let platform = Platform::start(local()).await.expect("a free port is found");
+        let http = reqwest::Client::builder().no_proxy().build().expect("no TLS is needed");
+        let mut fleet = Fleet { platform, searchers, nodes: BTreeMap::new(), bundle, http };
+        fleet.publish(&fleet.bundle, &Change::default());
+        for place in PLACES {
+            fleet.start_node(&format!("gate-{place}"), place, Role::Gate).await;
+            fleet.start_node(&format!("entry-{place}"), place, Role::Entry).await;
+        }
+        fleet.wait_in_force(fleet.bundle.stamp).await;
+        fleet.wait("the nodes find one another", |it| it.sees_all()).await;
+        fleet
+    }
+
+    /// Starts a node.
+    pub async fn start_node(&mut self, name: &str, place: &str, role: Role) {
+        let seeds = self.nodes.values().map(|it| it.record().peer).collect();
+        let config = Config {
+            name: Name::from(name),
+            data_centre: Name::from(place),
+            roles: vec![role],
+            http_listen: local(),
+            rpc_listen: local(),
+            peer_listen: local(),
+            advertise: None,
+            platform: self.platform.address(),
+            seeds,
+            drain: Duration::from_millis(200),
+            threads: None,
+        };
+        let node = Node::start(config).await.expect("free ports are found");
+        self.nodes.insert(name.to_owned(), node);
+    }
+
+    /// Publishes a configuration, as operators do.
+    pub fn publish(&self, bundle: &Bundle, change: &Change) {
+        let head = bundle.head();
+        let store = self.platform.store();
+        for (number, part) in bundle.parts().into_iter().enumerate() {
+            assert!(store.put(&head.part_key(number), part));
+        }
+        assert!(store.put(&head.change_key(), json!(change).to_string()));
+        assert!(store.put(Head::KEY, json!(head).to_string()));
+    }
+
+    /// Changes the configuration, publishes it and returns it.
+    pub fn change(&mut self, change: impl FnOnce(&mut Set)) -> Bundle {
+        let mut set = self.bundle.set.clone();
+        change(&mut set);
+        let next = self.bundle.next(set);
+        let change = Change::between(&self.bundle.set, &next.set);
+        self.publish(&next, &change);
+        self.bundle = next.clone();
+        next
+    }
+
+    /// Returns the configuration that a node has in force.
+    pub fn in_force(&self, node: &str) -> Option<Stamp> {
+        self.nodes[node].view().borrow().config.as_ref().map(|it| it.stamp)
+    }
+
+    /// Waits until a configuration is in force everywhere.
+    pub async fn wait_in_force(&self, stamp: Stamp) {
+        let everywhere = |it: &Fleet| it.nodes.keys().all(|node| it.in_force(node) == Some(stamp));
+        self.wait("the configuration is in force everywhere", everywhere).await;
+    }
+
+    /// Waits until a condition holds.
+    pub async fn wait(&self, what: &str, holds: impl Fn(&Fleet) -> bool) {
+        let waiting = async {
+            while !holds(self) {
+                tokio::time::sleep(POLL).await;
+            }
+        };
+        let waited = tokio::time::timeout(GIVE_UP, waiting).await;
+        assert!(waited.is_ok(), "given up waiting until {what}");
+    }
+
+    /// Returns what a server has counted.
+    pub fn stats(&self, server: &str) -> Stats {
+        self.searchers[server].model().stats()
+    }
+
+    /// Returns the sum of a count over all servers.
+    pub fn total(&self, count: impl Fn(&Stats) -> u64) -> u64 {
+        self.searchers.values().map(|it| count(&it.model().stats())).sum()
+    }
+
+    /// Sends a query to an entry and returns the status and the answer.
+    pub async fn query(&self, entry: &str, query: Value) -> (u16, Value) {
+        self.post(entry, json!({ "rule": "rule", "query": query })).await
+    }
+
+    /// Sends a request to an entry and returns the status and the body.
+    pub async fn post(&self, entry: &str, body: Value) -> (u16, Value) {
+        let response = self.http.post(self.url(entry, "query")).json(&body).send().await;
+        let response = response.expect("the entry answers");
+        let status = response.status().as_u16();
+        (status, response.json().await.expect("the answer is JSON"))
+    }
+
+    /// Takes a ticket from an entry.
+    pub async fn ticket(&self, entry: &str) -> String {
+        let response = self.http.post(self.url(entry, "tickets")).send().await;
+        let issued: Value = response.expect("the entry answers").json().await.expect("it is JSON");
+        issued["ticket"].as_str().expect("a ticket is issued").to_owned()
+    }
+
+    /// Returns the URL of a resource of an entry.
+    pub fn url(&self, entry: &str, path: &str) -> String {
+        let address = self.nodes[entry].http_address().expect("the node is an entry");
+        format!("http://{address}/v1/{path}")
+    }
+
+    fn sees_all(&self) -> bool {
+        self.nodes.values().all(|it| it.view().borrow().nodes.len() == self.nodes.len())
+    }
+}
+
+fn local() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn config(searchers: &BTreeMap<String, Searcher>) -> Set {
+    let mut text = String::from(
+        r#"
+        [[service]]
+        name = "service"
+        index = "index"
+        slots = 3
+        connections = 30
+        connect_cost_ms = 6
+
+        [[snapshot]]
+        name = "s1"
+        index = "index"
+        version = 1
+        shards = ["shard1", "shard2", "shard3"]
+
+        [[rule]]
+        name = "rule"
+        index = "index"
+        services = ["service"]
+        class = "interactive"
+        deadline_ms = 10000
+        "#,
+    );
+    for place in PLACES {
+        text.push_str(&format!("[[data_centre]]\nname = \"{place}\"\nregion = \"r\"\n"));
+    }
+    for (name, searcher) in searchers {
+        text.push_str(&format!(
+            "[[server]]\nname = \"{name}\"\nservice = \"service\"\ndata_centre = \"{}\"\n\
+             address = \"{}\"\n",
+            &name[..1],
+            searcher.address()
+        ));
+    }
+    for number in 1..=3 {
+        text.push_str(&format!(
+            "[[shard]]\nname = \"shard{number}\"\nservice = \"service\"\n\
+             replicas = [\"a{number}\", \"b{number}\"]\n"
+        ));
+    }
+    Document::parse(&text).expect("the fixture is valid TOML").change.put
+}
--- /dev/null
+++ b/crates/node/tests/fleet/main.rs
@@ -0,0 +1,12 @@
+//! Tests of whole nodes against stand-ins, one file a feature.
+
+mod env;
+
+mod caller_gone;
+mod config_spread;
+mod planned_stop;
+mod poison;
+mod queries;
+mod server_leaves;
+mod silent_connections;
+mod tickets;
--- a/crates/standin/src/searcher/service.rs
+++ b/crates/standin/src/searcher/service.rs
@@ -101,6 +101,8 @@
     model.end(&id, begun.elapsed(), done);
     if query.poison && done {
         model.crash();
+        // The connection breaks; no reply leaves a crashed process.
+        std::future::pending::<()>().await;
     }
     if !done {
         return StatusCode::REQUEST_TIMEOUT.into();
