Poll the health of servers over a connection that is kept

Ruled out: polling over the work connections (a silent one would make its server seem unreachable), and polling less often (a leaving server must be seen within seconds).

Change: a poll uses a connection of its own that is kept; only if that fails does a probe over a new connection decide. The modelled server no longer rounds an absent network delay up to a timer tick.

--- a/crates/core/tests/features/mesh/mod.rs
+++ b/crates/core/tests/features/mesh/mod.rs
@@ -32,10 +32,13 @@
     pub told: HashMap<SocketAddr, Vec<(Time, News)>>,
     pub largest: usize,
     rng: StdRng,
-    packets: BinaryHeap<Reverse<(Time, u64, SocketAddr, Vec<u8>)>>,
+    packets: BinaryHeap<Reverse<Travelling>>,
     next_packet: u64,
 }
 
+/// A packet on its way: when it arrives, its number, its receiver and its bytes.
+type Travelling = (Time, u64, SocketAddr, Vec<u8>);
+
 /// Returns the address of a node.
 pub fn address(number: usize) -> SocketAddr {
     ([10, 0, (number / 250) as u8, (number % 250) as u8], 8_082).into()
--- a/crates/node/src/backend/client.rs
+++ b/crates/node/src/backend/client.rs
@@ -28,6 +28,7 @@
     address: SocketAddr,
     idle: usize,
     work: reqwest::Client,
+    poll: reqwest::Client,
     probe: reqwest::Client,
 }
 
@@ -40,7 +41,7 @@
 impl Client {
     /// Creates a client that keeps at most `idle` connections for work.
     pub fn new(address: SocketAddr, idle: usize) -> Client {
-        Client { address, idle, work: build(idle), probe: build(0) }
+        Client { address, idle, work: build(idle), poll: build(1), probe: build(0) }
     }
 
     /// Returns where the server listens.
@@ -77,10 +78,23 @@
         let _ = self.work.delete(url).timeout(HEALTH_TIMEOUT).send().await;
     }
 
+    /// Asks the server for its health, over a connection that is kept for this. If that fails, the
+    /// connection may be to blame, and a new one is tried.
+    pub async fn poll(&self) -> Result<Health, HealthError> {
+        match self.ask_health(&self.poll).await {
+            Ok(health) => Ok(health),
+            Err(_) => self.probe().await,
+        }
+    }
+
     /// Asks the server for its health, over a new connection.
-    pub async fn health(&self) -> Result<Health, HealthError> {
+    pub async fn probe(&self) -> Result<Health, HealthError> {
+        self.ask_health(&self.probe).await
+    }
+
+    async fn ask_health(&self, client: &reqwest::Client) -> Result<Health, HealthError> {
         let url = format!("http://{}/health", self.address);
-        let response = self.probe.get(url).timeout(HEALTH_TIMEOUT).send().await;
+        let response = client.get(url).timeout(HEALTH_TIMEOUT).send().await;
         let response = response.and_then(|it| it.error_for_status()).context(HealthSnafu)?;
         response.json().await.context(HealthSnafu)
     }
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -291,18 +291,19 @@
 
     fn poll_health(&mut self) {
         for server in self.gate.polled() {
-            self.probe(&server);
+            self.ask_health(&server, false);
         }
     }
 
-    fn probe(&mut self, server: &Name) {
+    fn ask_health(&mut self, server: &Name, over_new_connection: bool) {
         let Some(client) = self.client(server) else { return };
         let asked = self.parts.timer.now();
         let server = server.clone();
         let outbox = self.outbox.clone();
         tokio::spawn(async move {
-            let health = client.health().await.ok();
-            let _ = outbox.send(Message::Health(server, asked, health));
+            let health =
+                if over_new_connection { client.probe().await } else { client.poll().await };
+            let _ = outbox.send(Message::Health(server, asked, health.ok()));
         });
     }
 
@@ -313,7 +314,7 @@
                 Action::Finish(task, outcome, hint) => self.finish(task, outcome, hint),
                 Action::Cancel(task) => self.cancel_at_server(task),
                 Action::Close(task) => self.close(task),
-                Action::Probe(server) => self.probe(&server),
+                Action::Probe(server) => self.ask_health(&server, true),
                 Action::Renew(server) => {
                     if let Some(client) = self.clients.get_mut(&server) {
                         client.renew();
@@ -406,7 +407,7 @@
 /// Finds out whether a server crashed after its connection broke: it cannot be reached, or it has
 /// started again since.
 async fn confirm_crash(client: &backend::Client, boot: Option<u64>, end: End) -> End {
-    let crashed = match client.health().await {
+    let crashed = match client.probe().await {
         Ok(health) => {
             boot.is_some_and(|it| it != health.server.boot)
                 || health.server.condition == gate::Condition::Cold
--- a/crates/node/tests/fleet/env/mod.rs
+++ b/crates/node/tests/fleet/env/mod.rs
@@ -7,7 +7,7 @@
 };
 
 use mimosabridge::{
-    config::{Bundle, Change, Document, Head, Set, Stamp},
+    config::{Bundle, Change, Document, Set, Stamp},
     name::Name,
 };
 use mimosabridge_node::node::{Config, Node, Role};
@@ -81,13 +81,7 @@
 
     /// Publishes a configuration, as operators do.
     pub fn publish(&self, bundle: &Bundle, change: &Change) {
-        let head = bundle.head();
-        let store = self.platform.store();
-        for (number, part) in bundle.parts().into_iter().enumerate() {
-            assert!(store.put(&head.part_key(number), part));
-        }
-        assert!(store.put(&head.change_key(), json!(change).to_string()));
-        assert!(store.put(Head::KEY, json!(head).to_string()));
+        assert!(self.platform.store().publish(bundle, change), "every value is small enough");
     }
 
     /// Changes the configuration, publishes it and returns it.
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -6,6 +6,8 @@
     },
 };
 
+use mimosabridge::config::{Bundle, Change, Head};
+use serde_json::json;
 use tokio::sync::watch;
 
 use super::{Entry, Vm};
@@ -50,6 +52,19 @@
         true
     }
 
+    /// Publishes a configuration, as an operator: the head last. Returns whether every value is
+    /// small enough.
+    pub fn publish(&self, bundle: &Bundle, change: &Change) -> bool {
+        let head = bundle.head();
+        let parts = bundle.parts().into_iter().enumerate();
+        let mut fits = true;
+        for (number, part) in parts {
+            fits &= self.put(&head.part_key(number), part);
+        }
+        fits &= self.put(&head.change_key(), json!(change).to_string());
+        fits && self.put(Head::KEY, json!(head).to_string())
+    }
+
     /// Reads a value, and counts the read.
     pub fn get(&self, key: &str) -> Option<Entry> {
         self.reads.fetch_add(1, Ordering::Relaxed);
--- a/crates/standin/src/searcher/service.rs
+++ b/crates/standin/src/searcher/service.rs
@@ -69,7 +69,10 @@
     let snapshot = number(request, backend::SNAPSHOT).unwrap_or_default();
     let deadline = number(request, backend::DEADLINE_MS).map(Duration::from_millis);
     let query: Query = serde_json::from_slice(&body).unwrap_or_default();
-    tokio::time::sleep(model.spec().network).await;
+    let network = model.spec().network;
+    if !network.is_zero() {
+        tokio::time::sleep(network).await;
+    }
     match model.start(&id, snapshot, query.order.as_deref()) {
         Ok((time, token)) => {
             // The request goes on when its connection breaks, as a real one would.
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,3 +1,4 @@
 //! Tools for operators, callers and measurement.
 
 pub mod config;
+pub mod load;
--- /dev/null
+++ b/crates/tools/src/load/options.rs
@@ -0,0 +1,67 @@
+use std::{net::SocketAddr, time::Duration};
+
+use mimosabridge_cli::{Fault, Options};
+use mimosabridge_standin::site::Site;
+
+/// The help text.
+pub const USAGE: &str = "\
+Puts the load of a site on a fleet and prints what came of it, one JSON object per rule.
+
+  --site NAME            riego or consorzio (riego)
+  --entries IP:PORT,...  where the entries take callers (required)
+  --servers IP:PORT      where the first modelled server of the site listens (required)
+  --scale F              factor on every rate of the site (1)
+  --warm-up N            seconds before counting starts (5)
+  --seconds N            seconds that are counted (20)
+  --rules NAME,...       only the load on these rules (all)
+  --seed N               seed of the random choices (1)
+  --help                 this text
+
+Latency counts from the time at which a request was due, so a slow fleet cannot hide behind
+callers that wait for it.";
+
+/// What to do, parsed once.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The site whose callers are modelled.
+    pub site: Site,
+    /// Where the entries take callers.
+    pub entries: Vec<SocketAddr>,
+    /// Where the first modelled server listens.
+    pub servers: SocketAddr,
+    /// Factor on every rate.
+    pub scale: f64,
+    /// Time before counting starts.
+    pub warm_up: Duration,
+    /// Time that is counted.
+    pub counted: Duration,
+    /// Only the load on these rules, or all if empty.
+    pub rules: Vec<String>,
+    /// Seed of the random choices.
+    pub seed: u64,
+}
+
+/// Parses the options of the tool.
+pub fn parse(mut options: Options) -> Result<Config, Fault> {
+    let name = options.or("--site", "riego".to_owned());
+    let site = Site::by_name(&name).unwrap_or_else(|| {
+        options.reject(format!("`--site {name}` is not known; use riego or consorzio"));
+        Site::riego()
+    });
+    let entries = options.list("--entries");
+    if entries.is_empty() {
+        options.reject("`--entries` is missing; name at least one entry".into());
+    }
+    let config = Config {
+        site,
+        entries,
+        servers: options.required("--servers", SocketAddr::from(([127, 0, 0, 1], 0))),
+        scale: options.or("--scale", 1.0),
+        warm_up: Duration::from_secs(options.or("--warm-up", 5)),
+        counted: Duration::from_secs(options.or("--seconds", 20)),
+        rules: options.list("--rules"),
+        seed: options.or("--seed", 1),
+    };
+    options.finish()?;
+    Ok(config)
+}
