Add metrics, a status page and traces with a span per hop

Cause: nothing showed what a node does.

Change: Prometheus metrics and the state of the node on an address of its own, spans for the query, each call to a gate and each request to a server, sent to a collector over OTLP if one is named, and a stand-in for such a collector.

Ruled out: a global registry (nodes that share a process in tests would share counts), and the exporter's own thread (it blocks; the tokio runtime is there).

Measured: with a collector, one query over three shards gives one trace whose spans name their parents; without one, no span is made.

--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -17,15 +17,41 @@
 use super::{Links, Request, session::Session, state::State};
 use crate::{
     fleet::{Pulse, View},
+    metrics::Metrics,
     timer,
+    trace::Tracer,
 };
 
+/// What an entry is made of.
+pub struct Parts {
+    /// The data centre that the entry stands in.
+    pub data_centre: Name,
+    /// Tells this process from its earlier ones, and seeds its random choices.
+    pub boot: u64,
+    /// The timers.
+    pub timer: timer::Service,
+    /// What is known of the fleet.
+    pub view: watch::Receiver<Arc<View>>,
+    /// The contact of this node with the others.
+    pub pulse: Pulse,
+    /// The contents that crash backend servers.
+    pub quarantine: Arc<Mutex<List>>,
+    /// The metrics of this node.
+    pub metrics: Metrics,
+    /// Starts the spans of this node.
+    pub tracer: Tracer,
+}
+
 /// What the sessions of an entry share.
 pub struct Front {
     /// The timers.
     pub timer: timer::Service,
     /// The connections to the other nodes.
     pub links: Links,
+    /// The metrics of this node.
+    pub metrics: Metrics,
+    /// Starts the spans of this node.
+    pub tracer: Tracer,
     view: watch::Receiver<Arc<View>>,
     pulse: Pulse,
     quarantine: Arc<Mutex<List>>,
@@ -35,24 +61,18 @@
 }
 
 impl Front {
-    /// Creates the shared part of an entry in `data_centre`. `boot` tells this process from its
-    /// earlier ones and seeds its random choices.
-    pub fn new(
-        data_centre: Name,
-        boot: u64,
-        timer: timer::Service,
-        view: watch::Receiver<Arc<View>>,
-        pulse: Pulse,
-        quarantine: Arc<Mutex<List>>,
-    ) -> Front {
+    /// Creates the shared part of an entry.
+    pub fn new(parts: Parts) -> Front {
         Front {
-            timer,
+            timer: parts.timer,
             links: Links::new(),
-            view,
-            pulse,
-            quarantine,
-            state: Mutex::new(State::new(data_centre, boot)),
-            next_call: AtomicU64::new(boot << 24),
+            metrics: parts.metrics,
+            tracer: parts.tracer,
+            view: parts.view,
+            pulse: parts.pulse,
+            quarantine: parts.quarantine,
+            state: Mutex::new(State::new(parts.data_centre, parts.boot)),
+            next_call: AtomicU64::new(parts.boot << 24),
             stopping: AtomicBool::new(false),
         }
     }
@@ -97,6 +117,17 @@
 
     /// Serves a request, unless it must be turned away. It is dropped when `cancelled`.
     pub async fn serve(self: &Arc<Self>, request: Request, cancelled: CancellationToken) -> Answer {
+        let begun = self.timer.now();
+        let rule = request.rule.clone();
+        let answer = self.admit(request, cancelled).await;
+        // The names of rules that do not exist are the callers' own and would be without bound.
+        if answer.refusal != Some(Refusal::NotConfigured) {
+            self.metrics.on_answer(&rule, &answer, self.timer.now().since(begun));
+        }
+        answer
+    }
+
+    async fn admit(self: &Arc<Self>, request: Request, cancelled: CancellationToken) -> Answer {
         let view = self.view();
         let Some(rule) = view.set.rules.get(&request.rule).cloned() else {
             return Answer::not_run(Refusal::NotConfigured);
@@ -108,9 +139,11 @@
         if !self.lock().door.enter(rule.class, now) {
             return Answer::not_run(Refusal::Overloaded);
         }
+        self.metrics.under_way.inc();
         let session = Session::new(self.clone(), request, rule, view);
         let answer = tokio::spawn(session.run(cancelled)).await;
         self.lock().door.leave();
+        self.metrics.under_way.dec();
         answer.unwrap_or_else(|_| Answer::unknown())
     }
 
@@ -149,6 +182,7 @@
         }
         let no_room = matches!(outcome, Outcome::Refused(refusal) if refusal.is_overload());
         state.door.on_outcome(no_room, now);
+        self.metrics.pressure_percent.set((state.door.pressure() * 100.0) as i64);
         match outcome {
             Outcome::Served(reply) => state.holdings.hear(server, reply.holds.clone(), now),
             Outcome::Refused(Refusal::NotHeld(held)) => {
--- a/crates/node/src/entry/http.rs
+++ b/crates/node/src/entry/http.rs
@@ -1,13 +1,14 @@
 use std::sync::Arc;
 
 use mimosabridge::{
+    backend::TRACE_PARENT,
     outcome::Refusal,
     query::{Answer, Verdict},
     ticket::Ticket,
 };
 use poem::{
     Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler,
-    http::StatusCode,
+    http::{HeaderMap, StatusCode},
     post,
     web::{Data, Json, Path, RemoteAddr},
 };
@@ -45,6 +46,7 @@
     home: Data<&Home>,
     callers: Data<&Registry>,
     caller: &RemoteAddr,
+    headers: &HeaderMap,
     body: Vec<u8>,
 ) -> Response {
     let input = match serde_json::from_slice::<Input>(&body) {
@@ -54,7 +56,8 @@
         }
     };
     let ticket = input.ticket.clone();
-    let request: Request = input.into();
+    let trace = headers.get(TRACE_PARENT).and_then(|it| it.to_str().ok()).map(str::to_owned);
+    let request = Request { trace, ..input.into() };
     let answer = match (ticket, request.idempotent) {
         (Some(ticket), _) => home.submit(ticket, request).await,
         (None, false) => Answer::not_run(Refusal::TicketMissing),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -13,7 +13,7 @@
 mod state;
 
 pub use self::{
-    front::Front,
+    front::{Front, Parts},
     home::Home,
     http::routes,
     link::Link,
--- a/crates/node/src/entry/request.rs
+++ b/crates/node/src/entry/request.rs
@@ -34,6 +34,8 @@
     pub budget: Option<Duration>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// The trace context of the caller, as W3C defines it.
+    pub trace: Option<String>,
 }
 
 impl Request {
@@ -50,6 +52,7 @@
             query: input.query,
             budget: input.deadline_ms.map(Duration::from_millis),
             idempotent: input.idempotent && input.ticket.is_none(),
+            trace: None,
         }
     }
 }
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -9,11 +9,12 @@
     time::Time,
     wire::{Call, Sub},
 };
+use opentelemetry::trace::SpanKind;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
 use super::{Front, Request, link::Fate};
-use crate::fleet::View;
+use crate::{fleet::View, trace::Span};
 
 /// One request from its plan to its answer.
 pub struct Session {
@@ -23,6 +24,7 @@
     rule: Rule,
     view: Arc<View>,
     deadline: Time,
+    span: Span,
     sent: HashMap<u32, Sent>,
     fates: mpsc::UnboundedSender<Fate>,
     inbox: mpsc::UnboundedReceiver<Fate>,
@@ -41,6 +43,8 @@
     pub fn new(front: Arc<Front>, request: Request, rule: Rule, view: Arc<View>) -> Session {
         let budget = request.budget.unwrap_or(rule.deadline()).min(rule.deadline());
         let deadline = front.timer.now() + budget;
+        let mut span = front.tracer.start("query", SpanKind::Server, request.trace.as_deref());
+        span.set("rule", rule.name.to_string());
         let (fates, inbox) = mpsc::unbounded_channel();
         Session {
             front,
@@ -49,6 +53,7 @@
             rule,
             view,
             deadline,
+            span,
             sent: HashMap::new(),
             fates,
             inbox,
@@ -70,6 +75,9 @@
             };
             match self.attempt(snapshot, may_restart, &cancelled).await {
                 Some(Ending::Settled { replies, coverage, may_have_run }) => {
+                    self.span.set("shards", coverage.total as i64);
+                    self.span.set("covered", coverage.answered as i64);
+                    self.span.set("snapshot", snapshot.version as i64);
                     if coverage.is_complete() {
                         self.front.on_harmless(self.content);
                     }
@@ -148,6 +156,7 @@
         let now = self.front.timer.now();
         let Some(sent) = self.sent.remove(&attempt) else { return Vec::new() };
         self.front.on_outcome(&sent.server, &sent.gate, &outcome, hint, now);
+        self.front.metrics.on_attempt(&self.rule.name, &outcome);
         let mut state = self.front.lock();
         let rule = state.rule(&self.rule.name);
         if matches!(outcome, Outcome::Served(_)) {
@@ -169,6 +178,7 @@
                 Action::Cancel(attempt) => {
                     let Some(sent) = self.sent.remove(&attempt) else { continue };
                     self.front.on_cancelled(&sent.server);
+                    self.front.metrics.on_attempt_cancelled(&self.rule.name);
                     cancels.entry((sent.gate, sent.call)).or_default().push(attempt);
                 }
                 Action::End(end) => ending = Some(end),
@@ -194,6 +204,11 @@
             self.sent.insert(attempt.id, sent);
             subs.push(Sub { attempt: attempt.id, server, shard: attempt.shard });
         }
+        let parent = self.span.context();
+        let mut span =
+            self.front.tracer.start("entry to gate", SpanKind::Client, parent.as_deref());
+        span.set("gate", gate.to_string());
+        span.set("sub_requests", subs.len() as i64);
         let call = Call {
             id,
             class: self.rule.class,
@@ -202,7 +217,7 @@
             budget_micros: now.until(self.deadline).as_micros() as u64,
             snapshot: snapshot.version,
             query: self.request.query.clone(),
-            trace: None,
+            trace: span.context(),
             subs,
         };
         let fates = self.fates.clone();
@@ -210,7 +225,10 @@
         let deadline = self.deadline;
         match self.front.links.get(&gate, &self.view) {
             Some(link) => {
-                tokio::spawn(async move { link.call(call, deadline, &timer, fates).await });
+                tokio::spawn(async move {
+                    link.call(call, deadline, &timer, fates).await;
+                    drop(span);
+                });
             }
             None => {
                 for sub in call.subs {
--- a/crates/node/src/fleet/keeper.rs
+++ b/crates/node/src/fleet/keeper.rs
@@ -22,7 +22,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Client, ConfigReply, Member, Message, Pulse, View, reader::Reader, seeds::Seeds};
-use crate::{events, platform, timer};
+use crate::{events, metrics::Metrics, platform, timer};
 
 /// How often the rounds of the exchange are looked at.
 const TICK: Duration = Duration::from_millis(100);
@@ -66,6 +66,8 @@
     pub pulse: Pulse,
     /// The contents that crash backend servers.
     pub quarantine: Arc<Mutex<List>>,
+    /// The metrics of this node.
+    pub metrics: Metrics,
 }
 
 /// Keeps the view of the fleet: exchanges packets with the other nodes, follows the configuration
@@ -83,6 +85,7 @@
     views: watch::Sender<Arc<View>>,
     pulse: Pulse,
     quarantine: Arc<Mutex<List>>,
+    metrics: Metrics,
     outbox: mpsc::UnboundedSender<Message>,
     inbox: mpsc::UnboundedReceiver<Message>,
     fetching: HashMap<Stamp, Origin>,
@@ -118,6 +121,7 @@
             views: parts.views,
             pulse: parts.pulse,
             quarantine: parts.quarantine,
+            metrics: parts.metrics,
             outbox: outbox.clone(),
             inbox,
             fetching: HashMap::new(),
@@ -149,6 +153,7 @@
     }
 
     fn on_datagram(&mut self, bytes: &[u8]) {
+        self.metrics.bytes_received.inc_by(bytes.len() as u64);
         let Some(packet) = Packet::decode(bytes) else { return };
         let now = self.timer.now();
         self.pulse.beat(now);
@@ -219,8 +224,11 @@
         for action in actions {
             match action {
                 Action::Send(address, packet) => {
+                    let bytes = packet.encode();
+                    self.metrics.packets_sent.inc();
+                    self.metrics.bytes_sent.inc_by(bytes.len() as u64);
                     // A datagram that is lost is made good by the next round.
-                    let _ = self.socket.try_send_to(&packet.encode(), address);
+                    let _ = self.socket.try_send_to(&bytes, address);
                 }
                 Action::Changed => changed = true,
                 Action::Tell(news, from) => self.on_news(news, from),
@@ -247,6 +255,11 @@
             let member = Member { data_centre: it.data_centre.clone(), address: it.rpc };
             (it.name.clone(), member)
         };
+        for state in [State::Alive, State::Suspect, State::Leaving, State::Dead] {
+            let count = records.iter().filter(|it| it.state == state).count();
+            let label = format!("{state:?}").to_lowercase();
+            self.metrics.nodes.with_label_values(&[label]).set(count as i64);
+        }
         let config = self.chain.in_force().cloned();
         let gates = records.iter().filter(|it| it.roles.gate && it.takes_work()).map(member);
         let nodes = records.iter().filter(|it| it.state != State::Dead).map(member);
@@ -336,9 +349,11 @@
             Verdict::Waiting => self.announce(News::Config { stamp, in_force: false }),
             Verdict::Known | Verdict::Stale => {}
             Verdict::Conflict { standing } => {
+                self.metrics.config_refused.inc();
                 events::CONFIG_CONFLICT.emit(&[("standing", &standing), ("rival", &stamp)]);
             }
             Verdict::Invalid(findings) => {
+                self.metrics.config_refused.inc();
                 for finding in &findings {
                     events::CONFIG_INVALID.emit(&[("config", &stamp), ("finding", finding)]);
                 }
@@ -351,6 +366,7 @@
         if let Some(old) = &self.views.borrow().config {
             self.history.push(old, &bundle);
         }
+        self.metrics.config_version.set(bundle.stamp.version as i64);
         self.peer.set_config(bundle.stamp);
         self.on_changed();
         self.announce(News::Config { stamp: bundle.stamp, in_force: true });
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -15,6 +15,7 @@
     time::Time,
     wire,
 };
+use opentelemetry::trace::SpanKind;
 use tokio::sync::{mpsc, oneshot, watch};
 
 use super::{
@@ -24,7 +25,9 @@
 use crate::{
     backend, events,
     fleet::{self, Pulse, View},
+    metrics::{self, Metrics},
     timer,
+    trace::Tracer,
 };
 
 /// How often expired tasks and silent connections are looked for.
@@ -47,6 +50,10 @@
     pub pulse: Pulse,
     /// The contents that crash backend servers.
     pub quarantine: Arc<Mutex<List>>,
+    /// The metrics of this node.
+    pub metrics: Metrics,
+    /// Starts the spans of this node.
+    pub tracer: Tracer,
     /// Where to tell what was seen of backend servers.
     pub keeper: mpsc::UnboundedSender<fleet::Message>,
 }
@@ -163,6 +170,9 @@
                 };
                 self.act(actions);
             }
+            Message::Hints(reply) => {
+                let _ = reply.send(self.gate.hints(self.parts.timer.now()));
+            }
             Message::Stop(done) => {
                 self.gate.stop();
                 self.stopping = Some(done);
@@ -197,6 +207,7 @@
                 attempt: sub.attempt,
                 server: sub.server,
                 shard: sub.shard,
+                offered: now,
                 exchange: None,
                 finished: false,
             };
@@ -337,11 +348,18 @@
             class: job.call.class,
             budget: now.until(job.call.deadline),
             query: job.call.query.clone(),
-            trace: job.call.trace.clone(),
+            trace: None,
         };
+        let parent = job.call.trace.as_deref();
+        let mut span = self.parts.tracer.start("gate to server", SpanKind::Client, parent);
+        span.set("server", server.to_string());
+        span.set("waited_micros", now.since(job.offered).as_micros() as i64);
+        let request = backend::Request { trace: span.context(), ..request };
         let outbox = self.outbox.clone();
         let exchange = tokio::spawn(async move {
             let mut end = client.search(request).await;
+            span.set("outcome", metrics::label(&end.outcome));
+            drop(span);
             if matches!(end.outcome, Outcome::Failed(Failure::Broken)) {
                 end = confirm_crash(&client, boot, end).await;
             }
@@ -353,6 +371,7 @@
     fn finish(&mut self, task: u64, outcome: Outcome, hint: Hint) {
         let Some(job) = self.jobs.get_mut(&task) else { return };
         job.finished = true;
+        self.parts.metrics.on_task(&outcome);
         let item = wire::Item { attempt: job.attempt, outcome, hint };
         // The entry may have gone; then nobody wants the item.
         let _ = job.call.items.send(item);
--- a/crates/node/src/gate/job.rs
+++ b/crates/node/src/gate/job.rs
@@ -15,6 +15,8 @@
     pub server: Name,
     /// The shard it searches.
     pub shard: Name,
+    /// When the gate was asked for it.
+    pub offered: Time,
     /// Stops the exchange with the server, once it was sent.
     pub exchange: Option<AbortHandle>,
     /// Whether the entry was told the outcome.
--- a/crates/node/src/gate/message.rs
+++ b/crates/node/src/gate/message.rs
@@ -1,4 +1,4 @@
-use mimosabridge::{backend::Health, gate::End, name::Name, time::Time, wire};
+use mimosabridge::{backend::Health, gate::End, name::Name, outcome::Hint, time::Time, wire};
 use tokio::sync::{mpsc, oneshot};
 
 /// What the actor of a gate is told.
@@ -12,6 +12,8 @@
     Settled(u64, End),
     /// A server has told its health, or could not be reached. Asked for at the time given.
     Health(Name, Time, Option<Health>),
+    /// Somebody asks for what is believed of the servers.
+    Hints(oneshot::Sender<Vec<(Name, Hint)>>),
     /// Take no new work. The sender is told once all is finished.
     Stop(oneshot::Sender<()>),
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,13 +1,16 @@
 //! The daemons of mimosabridge: entries, which take callers, and gates, which reach backend
 //! servers. They drive the decisions of the [`mimosabridge`] library.
 
+pub mod admin;
 pub mod backend;
 pub mod clock;
 pub mod entry;
 pub mod events;
 pub mod fleet;
 pub mod gate;
+pub mod metrics;
 pub mod node;
 pub mod platform;
 pub mod rpc;
 pub mod timer;
+pub mod trace;
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -19,6 +19,8 @@
     pub rpc_listen: SocketAddr,
     /// Where the node takes packets of other nodes.
     pub peer_listen: SocketAddr,
+    /// Where operators read metrics and state; nowhere if not given.
+    pub admin_listen: Option<SocketAddr>,
     /// Where other nodes reach this one, if not at the addresses it listens on.
     pub advertise: Option<std::net::IpAddr>,
     /// Where the platform answers.
@@ -27,6 +29,10 @@
     pub seeds: BTreeSet<SocketAddr>,
     /// How long a planned stop keeps serving while the balancer moves callers.
     pub drain: Duration,
+    /// The OTLP URL of the collector of traces, if there is one.
+    pub trace_endpoint: Option<String>,
+    /// The part of the requests that are traced, from 0 to 1.
+    pub trace_ratio: f64,
     /// Threads that run tasks; as many as cores if not given.
     pub threads: Option<usize>,
 }
--- a/crates/node/src/node/options.rs
+++ b/crates/node/src/node/options.rs
@@ -15,9 +15,12 @@
   --http-listen IP:PORT    where callers connect (0.0.0.0:8080)
   --rpc-listen IP:PORT     where other nodes connect (0.0.0.0:8081)
   --peer-listen IP:PORT    where other nodes send packets (0.0.0.0:8082)
+  --admin-listen IP:PORT   where operators read /metrics and /status (nowhere)
   --advertise IP           where other nodes reach this one (required with 0.0.0.0)
   --seeds IP:PORT,...      packet addresses of other nodes, besides the platform's list of VMs
   --drain-ms N             how long a planned stop keeps serving callers (5000)
+  --trace-endpoint URL     OTLP collector of traces, like http://10.0.0.9:4318/v1/traces (none)
+  --trace-ratio F          part of the requests that are traced (0.001)
   --threads N              threads that run tasks (one per core)
   --help                   this text";
 
@@ -33,10 +36,13 @@
         http_listen: options.or("--http-listen", any(8080)),
         rpc_listen: options.or("--rpc-listen", any(8081)),
         peer_listen: options.or("--peer-listen", any(8082)),
+        admin_listen: options.optional("--admin-listen"),
         advertise: options.optional("--advertise"),
         platform: options.required("--platform", any(0)),
         seeds: options.list("--seeds").into_iter().collect(),
         drain: Duration::from_millis(options.or("--drain-ms", 5_000)),
+        trace_endpoint: options.optional("--trace-endpoint"),
+        trace_ratio: options.or("--trace-ratio", 0.001),
         threads: options.optional("--threads"),
     };
     let unspecified =
--- a/crates/node/src/node/run.rs
+++ b/crates/node/src/node/run.rs
@@ -13,6 +13,7 @@
     quarantine::List,
 };
 use mimosabridge_cli::Fault;
+use poem::listener::TcpAcceptor;
 use snafu::ResultExt;
 use tokio::{
     net::UdpSocket,
@@ -24,6 +25,7 @@
 
 use super::{Config, Role};
 use crate::{
+    admin,
     clock::Clock,
     entry::{
         self, Front, Home, HomeServer,
@@ -32,7 +34,9 @@
     events,
     fleet::{self, Keeper, PeerServer, Pulse, View},
     gate::{self, GateServer},
+    metrics::Metrics,
     platform, rpc, timer,
+    trace::Tracer,
 };
 
 /// How long a stopping node stays to answer other nodes after its own work is done.
@@ -44,10 +48,12 @@
     drain: Duration,
     timer: timer::Service,
     http_address: Option<SocketAddr>,
+    admin_address: Option<SocketAddr>,
     record: Record,
     keeper: mpsc::UnboundedSender<fleet::Message>,
     view: watch::Receiver<Arc<View>>,
     quarantine: Arc<Mutex<List>>,
+    tracer: Tracer,
     gate: Option<mpsc::UnboundedSender<gate::Message>>,
     entry: Option<Entry>,
     server: ServerHandle,
@@ -68,6 +74,8 @@
     view: watch::Receiver<Arc<View>>,
     pulse: Pulse,
     quarantine: Arc<Mutex<List>>,
+    metrics: Metrics,
+    tracer: Tracer,
     keeper: mpsc::UnboundedSender<fleet::Message>,
 }
 
@@ -78,6 +86,14 @@
         let (views, view) = watch::channel(Arc::new(View::default()));
         let pulse = Pulse::new();
         let quarantine = Arc::new(Mutex::new(List::new()));
+        let metrics = Metrics::new();
+        let tracer = match &config.trace_endpoint {
+            Some(endpoint) => {
+                let tracer = Tracer::with_collector(&config.name, endpoint, config.trace_ratio);
+                tracer.whatever_context("cannot start tracing")?
+            }
+            None => Tracer::new(),
+        };
         let boot = boot();
         let listener = bound(rpc::bind(config.rpc_listen).await, config.rpc_listen)?;
         let socket = bound(UdpSocket::bind(config.peer_listen).await, config.peer_listen)?;
@@ -102,10 +118,11 @@
             views,
             pulse: pulse.clone(),
             quarantine: quarantine.clone(),
+            metrics: metrics.clone(),
         });
         let mut methods = RpcModule::new(());
         merge(&mut methods, fleet::Server::new(keeper.clone()).into_rpc())?;
-        let shared = Shared { boot, timer, view, pulse, quarantine, keeper };
+        let shared = Shared { boot, timer, view, pulse, quarantine, metrics, tracer, keeper };
         let gate = if record.roles.gate { Some(start_gate(&config, &shared)) } else { None };
         if let Some(actor) = &gate {
             merge(&mut methods, gate::Server::new(actor.clone()).into_rpc())?;
@@ -119,16 +136,22 @@
             entry = Some(started);
         }
         let server = bound(rpc::serve(listener, methods), config.rpc_listen)?;
+        let mut admin_address = None;
+        if let Some(listen) = config.admin_listen {
+            admin_address = Some(start_admin(listen, &config, &shared, gate.clone()).await?);
+        }
         events::NODE_STARTED.emit(&[("node", &config.name), ("data_centre", &config.data_centre)]);
         Ok(Node {
             name: config.name,
             drain: config.drain,
             timer: shared.timer,
             http_address,
+            admin_address,
             record,
             keeper: shared.keeper,
             view: shared.view,
             quarantine: shared.quarantine,
+            tracer: shared.tracer,
             gate,
             entry,
             server,
@@ -140,6 +163,11 @@
         self.http_address
     }
 
+    /// Returns where operators connect, if they may.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin_address
+    }
+
     /// Returns the record of the node as it started.
     pub fn record(&self) -> &Record {
         &self.record
@@ -192,6 +220,7 @@
         }
         let _ = self.timer.at(self.timer.now() + FAREWELL).await;
         let _ = self.server.stop();
+        self.tracer.stop().await;
         events::NODE_STOPPED.emit(&[("node", &self.name)]);
     }
 }
@@ -204,19 +233,23 @@
         view: shared.view.clone(),
         pulse: shared.pulse.clone(),
         quarantine: shared.quarantine.clone(),
+        metrics: shared.metrics.clone(),
+        tracer: shared.tracer.clone(),
         keeper: shared.keeper.clone(),
     })
 }
 
 async fn start_entry(config: &Config, shared: &Shared) -> Result<(SocketAddr, Entry), Fault> {
-    let front = Arc::new(Front::new(
-        config.data_centre.clone(),
-        shared.boot,
-        shared.timer.clone(),
-        shared.view.clone(),
-        shared.pulse.clone(),
-        shared.quarantine.clone(),
-    ));
+    let front = Arc::new(Front::new(entry::Parts {
+        data_centre: config.data_centre.clone(),
+        boot: shared.boot,
+        timer: shared.timer.clone(),
+        view: shared.view.clone(),
+        pulse: shared.pulse.clone(),
+        quarantine: shared.quarantine.clone(),
+        metrics: shared.metrics.clone(),
+        tracer: shared.tracer.clone(),
+    }));
     let home = Home::new(config.name.clone(), shared.boot, front.clone());
     tokio::spawn(front.clone().follow());
     let listen = config.http_listen;
@@ -231,6 +264,26 @@
     Ok((address, Entry { front, home, stopping, task }))
 }
 
+async fn start_admin(
+    listen: SocketAddr,
+    config: &Config,
+    shared: &Shared,
+    gate: Option<mpsc::UnboundedSender<gate::Message>>,
+) -> Result<SocketAddr, Fault> {
+    let listener = bound(tokio::net::TcpListener::bind(listen).await, listen)?;
+    let address = bound(listener.local_addr(), listen)?;
+    let acceptor = bound(TcpAcceptor::from_tokio(listener), listen)?;
+    let routes = admin::routes(admin::Parts {
+        name: config.name.clone(),
+        metrics: shared.metrics.clone(),
+        view: shared.view.clone(),
+        pulse: shared.pulse.clone(),
+        gate,
+    });
+    tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(routes));
+    Ok(address)
+}
+
 fn bound<T>(result: std::io::Result<T>, address: SocketAddr) -> Result<T, Fault> {
     result.with_whatever_context(|_| format!("cannot listen on {address}"))
 }
--- a/crates/node/tests/fleet/env/mod.rs
+++ b/crates/node/tests/fleet/env/mod.rs
@@ -12,6 +12,7 @@
 };
 use mimosabridge_node::node::{Config, Node, Role};
 use mimosabridge_standin::{
+    collector::Collector,
     platform::Platform,
     searcher::{Searcher, Spec, Stats},
 };
@@ -31,12 +32,18 @@
     pub searchers: BTreeMap<String, Searcher>,
     pub nodes: BTreeMap<String, Node>,
     pub bundle: Bundle,
+    pub collector: Option<Collector>,
     http: reqwest::Client,
 }
 
 impl Fleet {
     /// Starts a fleet whose servers are alike, and waits until it is ready.
     pub async fn start(spec: Spec) -> Fleet {
+        Fleet::start_traced(spec, None).await
+    }
+
+    /// Starts a fleet that sends its traces to a collector, if there is one.
+    pub async fn start_traced(spec: Spec, collector: Option<Collector>) -> Fleet {
         let mut searchers = BTreeMap::new();
         for place in PLACES {
             for number in 1..=3 {
@@ -48,7 +55,8 @@
         let bundle = Bundle::first(config(&searchers));
         let platform = Platform::start(local()).await.expect("a free port is found");
         let http = reqwest::Client::builder().no_proxy().build().expect("no TLS is needed");
-        let mut fleet = Fleet { platform, searchers, nodes: BTreeMap::new(), bundle, http };
+        let nodes = BTreeMap::new();
+        let mut fleet = Fleet { platform, searchers, nodes, bundle, collector, http };
         fleet.publish(&fleet.bundle, &Change::default());
         for place in PLACES {
             fleet.start_node(&format!("gate-{place}"), place, Role::Gate).await;
@@ -69,10 +77,13 @@
             http_listen: local(),
             rpc_listen: local(),
             peer_listen: local(),
+            admin_listen: Some(local()),
             advertise: None,
             platform: self.platform.address(),
             seeds,
             drain: Duration::from_millis(200),
+            trace_endpoint: self.collector.as_ref().map(Collector::url),
+            trace_ratio: 1.0,
             threads: None,
         };
         let node = Node::start(config).await.expect("free ports are found");
@@ -153,6 +164,13 @@
         format!("http://{address}/v1/{path}")
     }
 
+    /// Reads a page for operators.
+    pub async fn page(&self, node: &str, path: &str) -> String {
+        let address = self.nodes[node].admin_address().expect("operators may read it");
+        let response = self.http.get(format!("http://{address}/{path}")).send().await;
+        response.expect("the node answers").text().await.expect("the page is text")
+    }
+
     fn sees_all(&self) -> bool {
         self.nodes.values().all(|it| it.view().borrow().nodes.len() == self.nodes.len())
     }
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -4,9 +4,11 @@
 
 mod caller_gone;
 mod config_spread;
+mod operator_pages;
 mod planned_stop;
 mod poison;
 mod queries;
 mod server_leaves;
 mod silent_connections;
 mod tickets;
+mod traces;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! cancellation, deadlines, leaving, crashes and connections that go silent. [`platform`] models
 //! the configuration service and the list of VMs. [`site`] models the sites that use both.
 
+pub mod collector;
 pub mod platform;
 pub mod searcher;
 pub mod site;
