Add a benchmark of the slopes: decisions, configuration, exchange

Cause: the page on capacity needs measured slopes.

Change: mimosabridge-bench with three parts; a node can be killed for the crash measurement.

--- a/crates/node/src/fleet/keeper.rs
+++ b/crates/node/src/fleet/keeper.rs
@@ -18,6 +18,7 @@
 use tokio::{
     net::UdpSocket,
     sync::{mpsc, oneshot, watch},
+    task::JoinHandle,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -102,8 +103,8 @@
 }
 
 impl Keeper {
-    /// Starts the keeper in a task of its own and returns where to send it messages.
-    pub fn start(parts: Parts) -> mpsc::UnboundedSender<Message> {
+    /// Starts the keeper in a task of its own. Returns where to send it messages, and the task.
+    pub fn start(parts: Parts) -> (mpsc::UnboundedSender<Message>, JoinHandle<()>) {
         let (outbox, inbox) = mpsc::unbounded_channel();
         let now = parts.timer.now();
         let boot = parts.own.incarnation.boot;
@@ -129,8 +130,7 @@
             conflicts: BTreeSet::new(),
             started: now,
         };
-        tokio::spawn(keeper.run());
-        outbox
+        (outbox, tokio::spawn(keeper.run()))
     }
 
     async fn run(mut self) {
--- a/crates/node/src/node/run.rs
+++ b/crates/node/src/node/run.rs
@@ -53,7 +53,9 @@
     keeper: mpsc::UnboundedSender<fleet::Message>,
     view: watch::Receiver<Arc<View>>,
     quarantine: Arc<Mutex<List>>,
+    metrics: Metrics,
     tracer: Tracer,
+    exchange: JoinHandle<()>,
     gate: Option<mpsc::UnboundedSender<gate::Message>>,
     entry: Option<Entry>,
     server: ServerHandle,
@@ -109,7 +111,7 @@
             incarnation: Incarnation { boot, refutation: 0 },
             state: State::Alive,
         };
-        let keeper = Keeper::start(fleet::Parts {
+        let (keeper, exchange) = Keeper::start(fleet::Parts {
             own: record.clone(),
             socket,
             seeds: config.seeds.clone(),
@@ -151,7 +153,9 @@
             keeper: shared.keeper,
             view: shared.view,
             quarantine: shared.quarantine,
+            metrics: shared.metrics,
             tracer: shared.tracer,
+            exchange,
             gate,
             entry,
             server,
@@ -185,6 +189,18 @@
         list.is_quarantined(content, now)
     }
 
+    /// Returns the metrics of the node.
+    pub fn metrics(&self) -> &Metrics {
+        &self.metrics
+    }
+
+    /// Ends the exchange with other nodes and the calls of other nodes without a word, as if the
+    /// VM had failed.
+    pub fn kill(self) {
+        self.exchange.abort();
+        let _ = self.server.stop();
+    }
+
     /// Serves until the process is told to stop, then stops as planned.
     pub async fn serve(self) -> Result<(), Fault> {
         let mut terminate =
--- /dev/null
+++ b/crates/tools/src/bench/config.rs
@@ -0,0 +1,147 @@
+use std::{collections::BTreeMap, sync::Arc};
+
+use mimosabridge::{
+    config::{
+        Bundle, Change, Class, DataCentre, Digest, Intake, Lines, Rule, Server, Service, Set,
+        Shard, Snapshot, check,
+    },
+    name::Name,
+    place::Block,
+    route::Table,
+};
+use serde_json::json;
+
+use super::{
+    Sample, Usage,
+    sample::{print, round},
+};
+
+const DATA_CENTRES: usize = 11;
+const REGIONS: usize = 4;
+const REPLICAS: usize = 3;
+const SERVERS_PER_SERVICE: usize = 48;
+
+/// Measures what a configuration of many servers costs a node.
+pub fn run(servers: usize, gates: usize) {
+    let empty = Usage::of_self().resident;
+    let set = large(servers);
+    let held = Usage::of_self().resident;
+    let megabytes = |bytes: u64| round(bytes as f64 / 1e6);
+    print(json!({ "name": "objects", "count": set.len() }));
+    print(json!({ "name": "memory of one configuration, MB", "value": megabytes(held - empty) }));
+    let bundle = Bundle::first(set.clone());
+    let bytes: usize = bundle.parts().iter().map(String::len).sum();
+    print(json!({ "name": "published bytes", "value": bytes, "parts": bundle.parts().len() }));
+    let next = changed(&bundle);
+    let change = Change::between(&bundle.set, &next.set);
+    let wire = serde_json::to_string(&change).map_or(0, |it| it.len());
+    print(json!({ "name": "bytes of one change", "value": wire }));
+    Sample::measure("check", 1, || check(&set, &Lines::new())).print();
+    Sample::measure("digest", 1, || Digest::of(&set)).print();
+    Sample::measure("copy", 1, || set.clone()).print();
+    Sample::measure("difference", 1, || Change::between(&bundle.set, &next.set)).print();
+    Sample::measure("advance by one change", 1, || bundle.advance(next.head(), &change)).print();
+    Sample::measure("blocks", 1, || Block::all(&set)).print();
+    let shared = Arc::new(set);
+    let mut table = Table::new(Name::from("dc-0"));
+    table.set_gates(places(gates));
+    Sample::measure("route table: new configuration", 1, || table.reconfigure(shared.clone()))
+        .print();
+    let mut fewer = places(gates);
+    fewer.pop_first();
+    let all = places(gates);
+    let mut odd = false;
+    Sample::measure("route table: a gate comes or goes", 1, || {
+        odd = !odd;
+        table.set_gates(if odd { fewer.clone() } else { all.clone() });
+    })
+    .print();
+    let whole = Usage::of_self().resident;
+    print(
+        json!({ "name": "memory with route table and copies, MB", "value": megabytes(whole - empty) }),
+    );
+}
+
+/// Returns a configuration in which one rule reaches every service.
+pub fn large(servers: usize) -> Set {
+    let mut set = Set::default();
+    for number in 0..DATA_CENTRES {
+        let name = place(number);
+        let region = Name::new(format!("region-{}", number % REGIONS));
+        let place = DataCentre { name: name.clone(), region, intake: Intake::Open };
+        set.data_centres.insert(name, place);
+    }
+    let services = servers.div_ceil(SERVERS_PER_SERVICE);
+    for number in 0..services {
+        let name = Name::new(format!("service-{number}"));
+        let service = Service {
+            name: name.clone(),
+            index: Name::from("index"),
+            slots: 6,
+            connections: 45,
+            connect_cost_ms: 6,
+            cold_slots: 1,
+        };
+        set.services.insert(name, service);
+    }
+    for number in 0..servers {
+        let name = Name::new(format!("server-{number}"));
+        let address = ([10, (number >> 16) as u8, (number >> 8) as u8, number as u8], 9_000);
+        let server = Server {
+            name: name.clone(),
+            service: Name::new(format!("service-{}", number / SERVERS_PER_SERVICE)),
+            data_centre: place(number % DATA_CENTRES),
+            address: address.into(),
+        };
+        set.servers.insert(name, server);
+    }
+    for number in 0..servers / REPLICAS {
+        let first = number * REPLICAS;
+        let name = Name::new(format!("shard-{number}"));
+        let shard = Shard {
+            name: name.clone(),
+            service: Name::new(format!("service-{}", first / SERVERS_PER_SERVICE)),
+            replicas: (first..first + REPLICAS)
+                .map(|it| Name::new(format!("server-{it}")))
+                .collect(),
+        };
+        set.shards.insert(name, shard);
+    }
+    let snapshot = Snapshot {
+        name: Name::from("snapshot-1"),
+        index: Name::from("index"),
+        version: 1,
+        shards: set.shards.keys().cloned().collect(),
+    };
+    set.snapshots.insert(snapshot.name.clone(), snapshot);
+    let rule = Rule {
+        name: Name::from("rule"),
+        index: Name::from("index"),
+        services: set.services.keys().cloned().collect(),
+        class: Class::Interactive,
+        deadline_ms: 100,
+        hedge_quantile: 0.95,
+        canary_over: 16,
+        deduplicate: false,
+        max_hits: 1_000,
+    };
+    set.rules.insert(rule.name.clone(), rule);
+    set
+}
+
+/// Returns gates, spread over the data centres.
+pub fn places(gates: usize) -> BTreeMap<Name, Name> {
+    (0..gates).map(|it| (Name::new(format!("vm-{it}")), place(it % DATA_CENTRES))).collect()
+}
+
+fn place(number: usize) -> Name {
+    Name::new(format!("dc-{number}"))
+}
+
+fn changed(bundle: &Bundle) -> Bundle {
+    let mut set = bundle.set.clone();
+    if let Some(place) = set.data_centres.values_mut().next() {
+        place.intake = Intake::Closed;
+    }
+    bundle.next(set)
+}
--- /dev/null
+++ b/crates/tools/src/bench/mod.rs
@@ -0,0 +1,27 @@
+//! Slopes for `docs/CAPACITY.md`: what the decisions, the configuration and the exchange between
+//! nodes cost, measured on one machine.
+
+mod config;
+mod decisions;
+mod options;
+mod peers;
+mod sample;
+mod usage;
+
+pub use self::{
+    options::{Command, USAGE, parse},
+    sample::Sample,
+    usage::Usage,
+};
+
+use mimosabridge_cli::{ExitCode, Fault};
+
+/// Runs one benchmark and prints a JSON object for each result.
+pub async fn run(command: Command) -> Result<ExitCode, Fault> {
+    match command {
+        Command::Config { servers, gates } => config::run(servers, gates),
+        Command::Decisions => decisions::run(),
+        Command::Peers { nodes, seconds } => peers::run(nodes, seconds).await?,
+    }
+    Ok(ExitCode::Success)
+}
--- /dev/null
+++ b/crates/tools/src/bench/sample.rs
@@ -0,0 +1,50 @@
+use std::{hint::black_box, time::Instant};
+
+use serde_json::{Value, json};
+
+/// Rounds whose fastest counts, so that other work on the machine weighs little.
+const ROUNDS: usize = 7;
+
+/// What one operation costs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Sample {
+    /// What was measured.
+    pub name: String,
+    /// Microseconds for each operation, in the fastest round.
+    pub micros: f64,
+}
+
+impl Sample {
+    /// Measures an operation that is done `count` times in each round.
+    pub fn measure<T>(
+        name: impl Into<String>,
+        count: usize,
+        mut work: impl FnMut() -> T,
+    ) -> Sample {
+        let mut fastest = f64::INFINITY;
+        for _ in 0..ROUNDS {
+            let begun = Instant::now();
+            for _ in 0..count {
+                black_box(work());
+            }
+            let micros = begun.elapsed().as_secs_f64() * 1e6 / count as f64;
+            fastest = fastest.min(micros);
+        }
+        Sample { name: name.into(), micros: fastest }
+    }
+
+    /// Prints the result.
+    pub fn print(&self) {
+        print(json!({ "name": self.name, "micros": round(self.micros) }));
+    }
+}
+
+/// Prints a result.
+pub fn print(value: Value) {
+    println!("{value}");
+}
+
+/// Rounds to three decimals.
+pub fn round(value: f64) -> f64 {
+    (value * 1_000.0).round() / 1_000.0
+}
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -1,4 +1,5 @@
 //! Tools for operators, callers and measurement.
 
+pub mod bench;
 pub mod config;
 pub mod load;
