Make the cost of a run linear in its shards

Cause: every event scanned all legs and all attempts: to cancel the others of a leg, to see whether one is in flight, and to find the next hedge. With 1,500 shards that is 1,500 scans of 1,500 legs a query.

Ruled out: a cheaper scan (still a square), and one timer for each leg (1,500 timers a query).

Change: a leg knows its attempts in flight; sends wait for their hedge in one queue in the order of their times, and those that are over are dropped when they come to the front. The benchmark now asks for the next wake after each event, as the driver does.

Found on the way: asking an ended run for its next wake panicked; hedges.rs now asks for it.

--- a/crates/core/src/query/run.rs
+++ b/crates/core/src/query/run.rs
@@ -1,4 +1,4 @@
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use super::{Action, Attempt, Coverage, Ending, Gap, Missing, Plan, Route, Target};
 use crate::{
@@ -25,8 +25,12 @@
     legs: Vec<Leg>,
     attempts: BTreeMap<u32, Flight>,
     next_attempt: u32,
+    /// Sends in the order of their times, with their legs. Those that are over are dropped when
+    /// they come to the front.
+    hedges: VecDeque<(Time, usize)>,
     started: Option<Time>,
     released: bool,
+    answered: usize,
     crashed: BTreeSet<Name>,
     newer: Option<u64>,
     may_have_run: bool,
@@ -38,6 +42,7 @@
 struct Leg {
     target: Target,
     attempts: usize,
+    in_flight: Vec<u32>,
     /// Gates and servers that are of no more use to this leg, or are being tried.
     barred_gates: BTreeSet<Name>,
     barred_servers: BTreeSet<Name>,
@@ -72,8 +77,10 @@
             legs,
             attempts: BTreeMap::new(),
             next_attempt: 0,
+            hedges: VecDeque::new(),
             started: None,
             released: false,
+            answered: 0,
             crashed,
             newer: None,
             may_have_run: false,
@@ -102,9 +109,8 @@
     }
 
     /// Returns when [`Run::on_time`] must be called next.
-    pub fn wake_at(&self) -> Time {
-        let hedges = self.legs.iter().filter(|it| self.can_hedge(it));
-        let hedge = hedges.filter_map(|it| it.last_sent).min().map(|it| it + self.plan.hedge_after);
+    pub fn wake_at(&mut self) -> Time {
+        let hedge = self.next_hedge().map(|(sent, _)| sent + self.plan.hedge_after);
         let held_since = self.started.filter(|_| !self.released && self.crashed.is_empty());
         let release = held_since.map(|it| it + self.plan.hedge_after * CANARY_WAIT);
         hedge.into_iter().chain(release).fold(self.plan.deadline, Time::min)
@@ -122,6 +128,7 @@
             return Vec::new();
         }
         let Some(flight) = self.attempts.remove(&id) else { return Vec::new() };
+        self.legs[flight.leg].in_flight.retain(|it| *it != id);
         let mut actions = match outcome {
             Outcome::Served(reply) => self.on_served(&flight, reply, now, budget),
             Outcome::Refused(refusal) => self.on_refused(&flight, refusal, now, budget),
@@ -151,7 +158,7 @@
             return Vec::new();
         }
         self.ended = true;
-        self.cancel_attempts(|_| true)
+        self.cancel_all()
     }
 
     fn on_served(
@@ -172,7 +179,8 @@
         }
         leg.reply = Some(reply);
         leg.missing = None;
-        let mut actions = self.cancel_attempts(|it| it.leg == flight.leg);
+        self.answered += 1;
+        let mut actions = self.cancel_leg(flight.leg);
         actions.extend(self.release(now));
         actions
     }
@@ -241,12 +249,8 @@
     }
 
     fn retry(&mut self, leg: usize, price: Price, now: Time, budget: &mut Budget) -> Vec<Action> {
-        let is_open = self.legs[leg].reply.is_none();
-        let in_flight = self.attempts.values().any(|it| it.leg == leg);
-        if !is_open || in_flight || now >= self.plan.deadline {
-            return Vec::new();
-        }
-        if self.legs[leg].next_route().is_none() {
+        let is_open = self.legs[leg].reply.is_none() && self.legs[leg].in_flight.is_empty();
+        if !is_open || now >= self.plan.deadline || self.legs[leg].next_route().is_none() {
             return Vec::new();
         }
         let paid = price == Price::Token;
@@ -258,28 +262,36 @@
 
     fn hedge(&mut self, now: Time, budget: &mut Budget) -> Vec<Action> {
         let mut actions = Vec::new();
-        for leg in 0..self.legs.len() {
-            if !self.can_hedge(&self.legs[leg]) {
-                continue;
-            }
-            let due = self.legs[leg].last_sent.is_some_and(|it| it + self.plan.hedge_after <= now);
-            if !due {
-                continue;
+        while let Some((sent, leg)) = self.next_hedge() {
+            if sent + self.plan.hedge_after > now {
+                break;
             }
+            self.hedges.pop_front();
             if budget.spend_hedge() {
                 actions.extend(self.send(leg, true, now));
             } else {
                 self.legs[leg].last_sent = Some(now);
+                self.hedges.push_back((now, leg));
             }
         }
         actions
     }
 
+    /// Returns the send that is the next to be hedged, and its leg.
+    fn next_hedge(&mut self) -> Option<(Time, usize)> {
+        while let Some((sent, leg)) = self.hedges.front().copied() {
+            if self.legs[leg].last_sent == Some(sent) && self.can_hedge(&self.legs[leg]) {
+                return Some((sent, leg));
+            }
+            self.hedges.pop_front();
+        }
+        None
+    }
+
     fn can_hedge(&self, leg: &Leg) -> bool {
         self.plan.idempotent
             && self.crashed.is_empty()
             && leg.reply.is_none()
-            && leg.last_sent.is_some()
             && leg.next_route().is_some()
     }
 
@@ -288,7 +300,7 @@
         if self.released {
             return Vec::new();
         }
-        let served = self.legs.iter().any(|it| it.reply.is_some());
+        let served = self.answered > 0;
         let wait = self.plan.hedge_after * CANARY_WAIT;
         let waited = self.started.is_some_and(|it| it + wait <= now);
         let harmless = self.crashed.is_empty() && (waited || self.attempts.is_empty());
@@ -313,36 +325,41 @@
         let id = self.next_attempt;
         self.next_attempt += 1;
         self.legs[leg].attempts += 1;
+        self.legs[leg].in_flight.push(id);
         self.legs[leg].barred_servers.insert(route.server.clone());
         self.legs[leg].last_sent = Some(now);
+        self.hedges.push_back((now, leg));
         self.attempts.insert(id, Flight { leg, route: route.clone(), paid });
         let shard = self.legs[leg].target.shard.clone();
         Some(Action::Send(Attempt { id, shard, route, deadline: self.plan.deadline }))
     }
 
-    fn cancel_attempts(&mut self, matches: impl Fn(&Flight) -> bool) -> Vec<Action> {
-        let ids: Vec<_> =
-            self.attempts.iter().filter(|(_, it)| matches(it)).map(|(id, _)| *id).collect();
+    fn cancel_leg(&mut self, leg: usize) -> Vec<Action> {
+        let ids = std::mem::take(&mut self.legs[leg].in_flight);
         for id in &ids {
             self.attempts.remove(id);
         }
         ids.into_iter().map(Action::Cancel).collect()
     }
 
+    fn cancel_all(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.attempts).into_keys().map(Action::Cancel).collect()
+    }
+
     fn time_out(&mut self) -> Vec<Action> {
         let waiting: Vec<_> = self.attempts.values().map(|it| it.leg).collect();
         for leg in waiting {
             self.note(leg, Missing::Unknown(Failure::TimedOut));
             self.may_have_run = true;
         }
-        let mut actions = self.cancel_attempts(|_| true);
+        let mut actions = self.cancel_all();
         actions.push(self.settle());
         actions
     }
 
     fn convict(&mut self) -> Vec<Action> {
         self.ended = true;
-        let mut actions = self.cancel_attempts(|_| true);
+        let mut actions = self.cancel_all();
         let servers = self.crashed.iter().cloned().collect();
         actions.push(Action::End(Ending::Quarantine { servers }));
         actions
@@ -374,6 +391,7 @@
 
     fn settle(&mut self) -> Action {
         self.ended = true;
+        self.hedges.clear();
         let total = self.legs.len();
         let mut replies = Vec::new();
         let mut missing = Vec::new();
@@ -396,6 +414,7 @@
         Leg {
             target,
             attempts: 0,
+            in_flight: Vec::new(),
             barred_gates: BTreeSet::new(),
             barred_servers: BTreeSet::new(),
             last_sent: None,
--- a/crates/core/tests/features/main.rs
+++ b/crates/core/tests/features/main.rs
@@ -10,6 +10,7 @@
 mod config_check;
 mod config_race;
 mod fault_matrix;
+mod hedges;
 mod membership;
 mod placement;
 mod quarantine;
--- a/crates/core/tests/features/world/mod.rs
+++ b/crates/core/tests/features/world/mod.rs
@@ -206,7 +206,7 @@
                 }
             }
         }
-        let run = &self.queries[query].run;
+        let run = &mut self.queries[query].run;
         if !run.has_ended() {
             let wait = self.now.until(run.wake_at());
             self.after(wait, Event::Wake(query));
--- a/crates/tools/src/bench/decisions.rs
+++ b/crates/tools/src/bench/decisions.rs
@@ -79,6 +79,8 @@
         for attempt in attempts {
             let reply = Reply { snapshot: 1, holds: vec![1], hits: hits.clone() };
             last = run.on_outcome(attempt.id, Outcome::Served(reply), NOW, &mut budget);
+            // The driver asks after every event.
+            std::hint::black_box(run.wake_at());
         }
         last
     })
