Plan from an index of servers instead of names

Cause: a plan looked up each shard, server, service and data centre by name in ordered maps, and searched the services of the rule for every shard.

Ruled out: caching whole plans (loads change between any two), and faster hashes alone (most of the time went to comparing names in ordered maps).

--- a/crates/core/src/route/load.rs
+++ b/crates/core/src/route/load.rs
@@ -43,7 +43,12 @@
 
     /// Returns how far the server is trusted; `Warm` if nothing was heard of late.
     pub fn trust(&self, now: Time) -> Trust {
-        if self.is_fresh(now) { self.hint.trust } else { Trust::Warm }
+        self.known_trust(now).unwrap_or(Trust::Warm)
+    }
+
+    /// Returns how far the server is trusted, if anything was heard of late.
+    pub fn known_trust(&self, now: Time) -> Option<Trust> {
+        self.is_fresh(now).then_some(self.hint.trust)
     }
 
     /// Estimates how long one more request to the server takes, given its slots.
--- a/crates/core/src/route/mod.rs
+++ b/crates/core/src/route/mod.rs
@@ -2,6 +2,8 @@
 
 mod distance;
 mod load;
+mod reach;
+mod replica;
 mod table;
 
-pub use self::{distance::Distance, load::Load, table::Table};
+pub use self::{distance::Distance, load::Load, reach::Reach, replica::Replica, table::Table};
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -6,12 +6,12 @@
 
 use rand::{Rng, RngExt};
 
-use super::{Distance, Load};
+use super::{Distance, Load, Reach, Replica};
 use crate::{
-    config::{Rule, Server, Set, Shard, Snapshot},
+    config::{Rule, Server, Set, Snapshot},
     gate::RANKED_GATES,
     name::Name,
-    outcome::{Hint, Trust},
+    outcome::Hint,
     place::{self, Block},
     query::{Route, Target},
     snapshot::Holdings,
@@ -21,6 +21,9 @@
 /// One pick in this many puts a server that still ramps up first, so that it gains evidence.
 const EXPLORE_ONE_IN: u32 = 16;
 
+/// How much the expected time is blurred, so that entries do not all pick the same server.
+const BLUR: f64 = 0.2;
+
 /// How long a gate that could not be reached is passed over.
 const GATE_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -30,11 +33,11 @@
     data_centre: Name,
     distance: Distance,
     config: Arc<Set>,
-    blocks: BTreeMap<Name, Block>,
+    replicas: Vec<Replica>,
+    places: HashMap<Name, usize>,
+    reaches: HashMap<(Name, Name), Arc<Reach>>,
     gates: BTreeMap<Name, Name>,
-    ranked: HashMap<Block, Vec<Name>>,
     lost_gates: HashMap<Name, Time>,
-    loads: HashMap<Name, Load>,
     leaving: HashSet<Name>,
 }
 
@@ -45,11 +48,11 @@
             data_centre,
             distance: Distance::new(),
             config: Arc::default(),
-            blocks: BTreeMap::new(),
+            replicas: Vec::new(),
+            places: HashMap::new(),
+            reaches: HashMap::new(),
             gates: BTreeMap::new(),
-            ranked: HashMap::new(),
             lost_gates: HashMap::new(),
-            loads: HashMap::new(),
             leaving: HashSet::new(),
         }
     }
@@ -60,11 +63,17 @@
         self
     }
 
-    /// Takes a configuration.
+    /// Takes a configuration. What is known of the load on servers stays.
     pub fn reconfigure(&mut self, config: Arc<Set>) {
-        self.blocks = Block::all(&config);
-        self.loads.retain(|name, _| config.servers.contains_key(name));
         self.config = config;
+        self.reaches.clear();
+        let blocks = Block::all(&self.config);
+        let servers = self.config.servers.values();
+        let replicas: Vec<_> =
+            servers.map(|it| self.replica(it, blocks[&it.name].clone())).collect();
+        let numbered = replicas.iter().enumerate();
+        self.places = numbered.map(|(place, it)| (it.name.clone(), place)).collect();
+        self.replicas = replicas;
         self.rank_gates();
     }
 
@@ -73,12 +82,16 @@
         if self.gates == gates {
             return;
         }
+        self.lost_gates.retain(|it, _| gates.contains_key(it));
         self.gates = gates;
         self.rank_gates();
     }
 
     /// Takes the servers that are known to be leaving.
     pub fn set_leaving(&mut self, leaving: HashSet<Name>) {
+        for replica in &mut self.replicas {
+            replica.leaving = leaving.contains(&replica.name);
+        }
         self.leaving = leaving;
     }
 
@@ -92,95 +105,114 @@
         self.lost_gates.remove(gate);
     }
 
-    /// Returns the gate that serves a server, if any gate is alive: the first of its block that
-    /// was not lost lately, or the first if all were.
+    /// Returns the gate that serves a server, if any gate is alive.
     pub fn gate_of(&self, server: &Name, now: Time) -> Option<&Name> {
-        let ranked = self.ranked.get(self.blocks.get(server)?)?;
-        let is_lost = |it: &Name| self.lost_gates.get(it).is_some_and(|until| now < *until);
-        ranked.iter().find(|it| !is_lost(it)).or(ranked.first())
+        self.gate(&self.replicas[*self.places.get(server)?], now)
     }
 
     /// Takes note of an attempt that was sent to a server.
     pub fn on_sent(&mut self, server: &Name) {
-        self.loads.entry(server.clone()).or_default().on_sent();
+        if let Some(load) = self.load(server) {
+            load.on_sent();
+        }
     }
 
     /// Takes note of an attempt that is over.
     pub fn on_done(&mut self, server: &Name) {
-        if let Some(load) = self.loads.get_mut(server) {
+        if let Some(load) = self.load(server) {
             load.on_done();
         }
     }
 
     /// Takes a hint about a server from its gate.
     pub fn on_hint(&mut self, server: &Name, hint: Hint, now: Time) {
-        self.loads.entry(server.clone()).or_default().on_hint(hint, now);
+        if let Some(load) = self.load(server) {
+            load.on_hint(hint, now);
+        }
     }
 
     /// Returns the targets of a query: every shard of the snapshot that the rule reaches.
     pub fn targets(
-        &self,
+        &mut self,
         rule: &Rule,
         snapshot: &Snapshot,
         holdings: &Holdings,
         now: Time,
         rng: &mut impl Rng,
     ) -> Vec<Target> {
-        let shards = snapshot.shards.iter().filter_map(|it| self.config.shards.get(it));
-        let reached = shards.filter(|it| rule.services.contains(&it.service));
+        let reach = self.reach(rule, snapshot);
         let lacks = |it: &Name| holdings.holds(it, snapshot.version, now) == Some(false);
-        reached.map(|it| self.target(it, lacks, now, rng)).collect()
+        let target = |(shard, replicas): &(Name, Vec<usize>)| Target {
+            shard: shard.clone(),
+            routes: self.routes(replicas, &lacks, now, rng),
+        };
+        reach.shards.iter().map(target).collect()
+    }
+
+    fn reach(&mut self, rule: &Rule, snapshot: &Snapshot) -> Arc<Reach> {
+        let key = (rule.name.clone(), snapshot.name.clone());
+        let find = || Arc::new(Reach::new(&self.config, rule, snapshot, &self.places));
+        self.reaches.entry(key).or_insert_with(find).clone()
     }
 
-    fn target(
+    /// Returns the ways to a shard, best first. The ways through second gates come last.
+    fn routes(
         &self,
-        shard: &Shard,
-        lacks: impl Fn(&Name) -> bool,
+        replicas: &[usize],
+        lacks: &impl Fn(&Name) -> bool,
         now: Time,
         rng: &mut impl Rng,
-    ) -> Target {
-        let replicas = shard.replicas.iter().filter_map(|it| self.config.servers.get(it));
-        let open = replicas.filter(|it| self.takes_work(it));
-        let mut ranked: Vec<_> = open
-            .filter_map(|it| {
-                let gate = self.gate_of(&it.name, now)?.clone();
-                let cost = self.cost(it, lacks(&it.name), now, rng);
-                Some((cost, Route { server: it.name.clone(), gate }))
+    ) -> Vec<Route> {
+        let usable = replicas.iter().map(|it| &self.replicas[*it]).filter(|it| it.takes_work());
+        let mut ranked: Vec<_> = usable
+            .map(|it| {
+                let (unusable, expected) = it.cost(lacks(&it.name), now);
+                let blur = rng.random_range(1.0 - BLUR..1.0 + BLUR);
+                ((unusable, expected.mul_f64(blur)), it)
             })
             .collect();
         ranked.sort_by_key(|(cost, _)| *cost);
-        self.explore(&mut ranked, now, rng);
-        let mut routes: Vec<_> = ranked.into_iter().map(|(_, route)| route).collect();
-        let detours: Vec<_> = routes.iter().filter_map(|it| self.detour(it)).collect();
+        if rng.random_range(0..EXPLORE_ONE_IN) == 0 {
+            explore(&mut ranked, now);
+        }
+        let mut routes = Vec::with_capacity(2 * ranked.len());
+        let mut detours = Vec::with_capacity(ranked.len());
+        for (_, replica) in ranked {
+            let Some(gate) = self.gate(replica, now) else { continue };
+            let route = |gate: &Name| Route { server: replica.name.clone(), gate: gate.clone() };
+            routes.push(route(gate));
+            detours.extend(replica.gates.iter().find(|it| *it != gate).map(route));
+        }
         routes.extend(detours);
-        Target { shard: shard.name.clone(), routes }
+        routes
     }
 
-    /// Returns the way to the same server through the next gate of its block.
-    fn detour(&self, route: &Route) -> Option<Route> {
-        let ranked = self.ranked.get(self.blocks.get(&route.server)?)?;
-        let gate = ranked.iter().find(|it| **it != route.gate)?.clone();
-        Some(Route { server: route.server.clone(), gate })
+    /// Returns the first gate of a replica that was not lost lately, or the first if all were.
+    fn gate<'a>(&self, replica: &'a Replica, now: Time) -> Option<&'a Name> {
+        let is_lost = |it: &Name| self.lost_gates.get(it).is_some_and(|until| now < *until);
+        if self.lost_gates.is_empty() {
+            return replica.gates.first();
+        }
+        replica.gates.iter().find(|it| !is_lost(it)).or(replica.gates.first())
     }
 
-    fn takes_work(&self, server: &Server) -> bool {
-        self.config.is_open(&server.data_centre) && !self.leaving.contains(&server.name)
+    fn load(&mut self, server: &Name) -> Option<&mut Load> {
+        let place = *self.places.get(server)?;
+        Some(&mut self.replicas[place].load)
     }
 
-    /// Returns how a replica compares with others: first by whether it can answer at all, then by
-    /// the expected time, which is blurred so that entries do not all pick the same one.
-    fn cost(
-        &self,
-        server: &Server,
-        lacks: bool,
-        now: Time,
-        rng: &mut impl Rng,
-    ) -> (bool, Duration) {
-        let slots = self.config.services.get(&server.service).map_or(1, |it| it.slots);
-        let load = self.loads.get(&server.name).copied().unwrap_or_default();
-        let unusable = lacks || load.trust(now) >= Trust::Down;
-        let expected = load.wait(slots, now) + self.distance_to(&server.data_centre);
-        (unusable, expected.mul_f64(rng.random_range(0.8..1.2)))
+    fn replica(&self, server: &Server, block: Block) -> Replica {
+        let known = self.places.get(&server.name).map(|it| &self.replicas[*it]);
+        Replica {
+            name: server.name.clone(),
+            block,
+            slots: self.config.services.get(&server.service).map_or(1, |it| it.slots),
+            distance: self.distance_to(&server.data_centre),
+            open: self.config.is_open(&server.data_centre),
+            leaving: self.leaving.contains(&server.name),
+            gates: Arc::default(),
+            load: known.map(|it| it.load).unwrap_or_default(),
+        }
     }
 
     fn distance_to(&self, data_centre: &Name) -> Duration {
@@ -195,27 +227,20 @@
         }
     }
 
-    fn explore(&self, ranked: &mut [((bool, Duration), Route)], now: Time, rng: &mut impl Rng) {
-        if rng.random_range(0..EXPLORE_ONE_IN) != 0 {
-            return;
-        }
-        let is_ramping = |route: &Route| {
-            let trust = self.loads.get(&route.server).map(|it| it.trust(now));
-            matches!(trust, Some(Trust::Cold | Trust::Ramping))
-        };
-        if let Some(index) = ranked.iter().position(|(cost, route)| !cost.0 && is_ramping(route)) {
-            ranked[..=index].rotate_right(1);
+    fn rank_gates(&mut self) {
+        let mut ranked: HashMap<Block, Arc<[Name]>> = HashMap::new();
+        for replica in &mut self.replicas {
+            let rank = |it: &Block| place::gates(it, &self.gates, RANKED_GATES as usize).into();
+            let gates = ranked.entry(replica.block.clone()).or_insert_with_key(rank);
+            replica.gates = gates.clone();
         }
     }
+}
 
-    fn rank_gates(&mut self) {
-        self.ranked.clear();
-        for block in self.blocks.values() {
-            if self.ranked.contains_key(block) {
-                continue;
-            }
-            let gates = place::gates(block, &self.gates, RANKED_GATES as usize);
-            self.ranked.insert(block.clone(), gates);
-        }
+/// Puts the first usable replica that still ramps up in front.
+fn explore(ranked: &mut [((bool, Duration), &Replica)], now: Time) {
+    let is_candidate = |it: &((bool, Duration), &Replica)| !it.0.0 && it.1.is_ramping(now);
+    if let Some(index) = ranked.iter().position(is_candidate) {
+        ranked[..=index].rotate_right(1);
     }
 }
--- a/crates/core/tests/features/hedges.rs
+++ b/crates/core/tests/features/hedges.rs
@@ -31,13 +31,16 @@
 }
 
 fn servers(actions: &[Action]) -> Vec<&str> {
-    let server = |it| match it {
-        &Action::Send(ref attempt) => Some(attempt.route.server.as_str()),
-        _ => None,
-    };
     actions.iter().filter_map(server).collect()
 }
 
+fn server(action: &Action) -> Option<&str> {
+    match action {
+        Action::Send(attempt) => Some(attempt.route.server.as_str()),
+        _ => None,
+    }
+}
+
 fn served() -> Outcome {
     let hits = to_raw_value(&serde_json::json!([])).expect("it is valid JSON");
     Outcome::Served(Reply { snapshot: 1, holds: vec![1], hits })
--- a/crates/core/tests/features/routes.rs
+++ b/crates/core/tests/features/routes.rs
@@ -33,14 +33,14 @@
     table
 }
 
-fn targets(table: &Table, holdings: &Holdings, seed: u64) -> Vec<Target> {
+fn targets(table: &mut Table, holdings: &Holdings, seed: u64) -> Vec<Target> {
     let set = world::config();
     let mut rng = StdRng::seed_from_u64(seed);
     table.targets(&set.rules["rule"], &set.snapshots["s7"], holdings, NOW, &mut rng)
 }
 
 /// How often, in a hundred plans, each server is the first choice for its shard.
-fn firsts(table: &Table, holdings: &Holdings) -> BTreeMap<Name, usize> {
+fn firsts(table: &mut Table, holdings: &Holdings) -> BTreeMap<Name, usize> {
     let mut counts = BTreeMap::new();
     for seed in 0..100 {
         for target in targets(table, holdings, seed) {
@@ -56,13 +56,13 @@
 
 #[test]
 fn near_first() {
-    let firsts = firsts(&table(), &Holdings::new());
+    let firsts = firsts(&mut table(), &Holdings::new());
     assert!(["a1", "a2", "a3"].iter().all(|it| firsts[*it] > 95), "{firsts:?}");
 }
 
 #[test]
 fn own_gates() {
-    for target in targets(&table(), &Holdings::new(), 1) {
+    for target in targets(&mut table(), &Holdings::new(), 1) {
         for route in target.routes {
             let place = &route.server.as_str()[..1];
             assert_eq!(&route.gate.as_str()[1..2], place, "a gate in the server's data centre");
@@ -76,7 +76,7 @@
     set.data_centres.get_mut("a").expect("the fixture has it").intake = Intake::Closed;
     let mut table = table();
     table.reconfigure(Arc::new(set));
-    for target in targets(&table, &Holdings::new(), 1) {
+    for target in targets(&mut table, &Holdings::new(), 1) {
         assert_eq!(target.routes.len(), 1);
         assert!(target.routes[0].server.as_str().starts_with('b'));
     }
@@ -86,7 +86,7 @@
 fn leaving_out() {
     let mut table = table();
     table.set_leaving(HashSet::from([Name::from("a2")]));
-    let targets = targets(&table, &Holdings::new(), 1);
+    let targets = targets(&mut table, &Holdings::new(), 1);
     let servers: Vec<_> = targets[1].routes.iter().map(|it| it.server.as_str()).collect();
     assert_eq!(servers, ["b2"]);
 }
@@ -95,7 +95,7 @@
 fn loaded_later() {
     let mut table = table();
     table.on_hint(&Name::from("a1"), hint(Trust::Warm, 3, 12), NOW);
-    assert!(!firsts(&table, &Holdings::new()).contains_key("a1"));
+    assert!(!firsts(&mut table, &Holdings::new()).contains_key("a1"));
 }
 
 #[test]
@@ -104,17 +104,17 @@
     table.on_hint(&Name::from("a1"), hint(Trust::Down, 1, 0), NOW);
     let mut holdings = Holdings::new();
     holdings.hear(&Name::from("a2"), vec![6], NOW);
-    let firsts = firsts(&table, &holdings);
+    let firsts = firsts(&mut table, &holdings);
     let names: Vec<_> = firsts.keys().map(Name::as_str).collect();
     assert_eq!(names, ["a3", "b1", "b2"], "a1 is down and a2 lacks the version");
-    let routes = &targets(&table, &holdings, 1)[0].routes;
+    let routes = &targets(&mut table, &holdings, 1)[0].routes;
     let last = routes.iter().position(|it| it.server.as_str() == "a1");
     assert_eq!(last, Some(1), "an unusable replica is still better than none");
 }
 
 #[test]
 fn detour_last() {
-    let routes = &targets(&table(), &Holdings::new(), 1)[0].routes;
+    let routes = &targets(&mut table(), &Holdings::new(), 1)[0].routes;
     let servers: Vec<_> = routes.iter().map(|it| it.server.as_str()).collect();
     assert_eq!(servers, ["a1", "b1", "a1"], "data centre b has no second gate");
     assert_ne!(routes[0].gate, routes[2].gate);
@@ -124,7 +124,7 @@
 fn cold_explored() {
     let mut table = table();
     table.on_hint(&Name::from("b1"), hint(Trust::Cold, 1, 0), NOW);
-    let explored = firsts(&table, &Holdings::new())["b1"];
+    let explored = firsts(&mut table, &Holdings::new())["b1"];
     assert!((1..=20).contains(&explored), "one pick in sixteen, not {explored} in a hundred");
 }
 
--- a/crates/tools/src/bench/decisions.rs
+++ b/crates/tools/src/bench/decisions.rs
@@ -1,11 +1,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use mimosabridge::{
-    config::{Class, Rule, Set, Snapshot},
+    config::Class,
     gate::{Action, Condition, End, Gate, Rank, Report, Settings, Task},
     name::Name,
     outcome::{Outcome, Reply},
-    query::{self, Answer, Attempt, Coverage, Ending, Plan, Run},
+    query::{self, Answer, Attempt, Coverage, Ending, Plan, Run, Target},
     retry::Budget,
     route::Table,
     snapshot::{Chooser, Holdings},
@@ -54,19 +54,18 @@
         Chooser::new().choose(&set, &rule, &holdings, NOW).map(|it| it.version)
     })
     .print();
-    run_query(&set, &table, &rule, &snapshot, &holdings);
+    let targets = table.targets(&rule, &snapshot, &holdings, NOW, &mut rng);
+    run_query(&targets);
 }
 
-fn run_query(set: &Set, table: &Table, rule: &Rule, snapshot: &Snapshot, holdings: &Holdings) {
-    let shards = set.shards.len();
-    let mut rng = StdRng::seed_from_u64(1);
-    let targets = table.targets(rule, snapshot, holdings, NOW, &mut rng);
+fn run_query(targets: &[Target]) {
+    let shards = targets.len();
     let hits = hits(3);
     let mut budget = Budget::new(10, 50);
     Sample::measure(format!("entry: run {shards} shards to the ending"), 20, || {
         let mut run = Run::new(Plan {
             snapshot: 1,
-            targets: targets.clone(),
+            targets: targets.to_vec(),
             deadline: NOW + Duration::from_millis(100),
             idempotent: true,
             hedge_after: Duration::from_millis(20),
