Exchange only the parts of the roster that differ, and soon after a start

Cause: nodes that start at once exchange a whole roster with the first node that they meet, which knows little yet; the rest travels six records a packet, and the next whole exchange had to wait for 30 s, since whole rosters of 1,200 nodes are 300 KB and may not be frequent.

Ruled out: larger packets (the budget of 2 KB/s bounds them), and whole rosters more often (at 1,200 nodes one a minute is 5 KB/s).

Change: rosters have 64 parts with a digest each, and only parts that differ are exchanged, both ways. The wait starts at 2 s, doubles with each exchange that leaves the rosters different, and starts again after one that brought a twentieth of the roster or more.

--- a/crates/core/src/member/action.rs
+++ b/crates/core/src/member/action.rs
@@ -11,6 +11,6 @@
     Changed,
     /// News has arrived for other parts of the node, from a node that takes calls at the address.
     Tell(News, SocketAddr),
-    /// Exchange whole rosters with the node that takes calls at the address.
+    /// Exchange the parts of the rosters that differ with the node that takes calls at the address.
     Sync(SocketAddr),
 }
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -1,4 +1,4 @@
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
 use rand::{Rng, RngExt, seq::IteratorRandom};
 
@@ -8,6 +8,9 @@
 };
 use crate::{config::Stamp, time::Time};
 
+/// The part of a roster, as a divisor, that an exchange must bring to be followed by another soon.
+const MANY_DIVISOR: usize = 20;
+
 /// This node in its exchange with the others.
 #[derive(Clone, Debug)]
 pub struct Peer {
@@ -22,6 +25,7 @@
     next_round: Time,
     last_heard: Option<Time>,
     last_sync: Option<Time>,
+    sync_wait: Duration,
     differing: u32,
 }
 
@@ -53,6 +57,7 @@
             next_round: now,
             last_heard: None,
             last_sync: None,
+            sync_wait: settings.sync_shortest,
             differing: 0,
         }
     }
@@ -113,13 +118,17 @@
         self.last_heard = None;
     }
 
-    /// Takes records of a whole roster that was exchanged.
+    /// Takes records of a roster that was exchanged.
     pub fn on_roster(&mut self, records: Vec<Record>, now: Time) -> Vec<Action> {
-        let mut changed = false;
+        let known = self.roster.live();
+        let mut learned = 0;
         for record in records {
-            changed |= self.learn(record, now);
+            learned += usize::from(self.learn(record, now));
+        }
+        if learned * MANY_DIVISOR > known {
+            self.sync_wait = self.settings.sync_shortest;
         }
-        if changed { vec![Action::Changed] } else { Vec::new() }
+        if learned > 0 { vec![Action::Changed] } else { Vec::new() }
     }
 
     /// Takes a packet.
@@ -165,12 +174,7 @@
         if self.learn(packet.from.clone(), now) {
             actions.push(Action::Changed);
         }
-        self.differing = if packet.roster == self.roster.digest() { 0 } else { self.differing + 1 };
-        let due = self.last_sync.is_none_or(|it| now.since(it) >= self.settings.sync_period);
-        let first = is_new && self.last_sync.is_none();
-        if due && (first || self.differing >= self.settings.sync_after) {
-            self.last_sync = Some(now);
-            self.differing = 0;
+        if self.needs_sync(packet, is_new, now) {
             actions.push(Action::Sync(packet.from.rpc));
         }
         if let Some(stamp) = packet.config.filter(|it| Some(*it) != self.config) {
@@ -179,6 +183,27 @@
         actions
     }
 
+    /// Returns whether to exchange rosters with the sender of a packet: with the first node that
+    /// is met, and when packets have shown different rosters for a while.
+    fn needs_sync(&mut self, packet: &Packet, is_new: bool, now: Time) -> bool {
+        if packet.roster == self.roster.digest() {
+            self.differing = 0;
+            self.sync_wait = self.settings.sync_shortest;
+            return false;
+        }
+        self.differing += 1;
+        let is_first = is_new && self.last_sync.is_none();
+        let has_waited = self.last_sync.is_none_or(|it| now.since(it) >= self.sync_wait);
+        let is_due = has_waited && self.differing >= self.settings.sync_after;
+        if !is_first && !is_due {
+            return false;
+        }
+        self.last_sync = Some(now);
+        self.sync_wait = (self.sync_wait * 2).min(self.settings.sync_longest);
+        self.differing = 0;
+        true
+    }
+
     fn on_news(
         &mut self,
         news: Vec<News>,
--- a/crates/core/src/member/roster.rs
+++ b/crates/core/src/member/roster.rs
@@ -5,11 +5,14 @@
     time::Duration,
 };
 
-use xxhash_rust::xxh3::Xxh3Default;
+use xxhash_rust::xxh3::{Xxh3Default, xxh3_64};
 
 use super::{Record, State};
 use crate::{name::Name, time::Time};
 
+/// Parts of the roster with a digest of their own.
+const BUCKETS: usize = 64;
+
 /// Every node that is known, this one included.
 #[derive(Clone, Debug, Default)]
 pub struct Roster {
@@ -49,6 +52,25 @@
         self.records().filter(|it| it.state != State::Dead).count()
     }
 
+    /// Returns the digest of each part of the roster.
+    pub fn digests(&self) -> Vec<u32> {
+        let mut digests = vec![0; BUCKETS];
+        for record in self.records() {
+            digests[bucket(&record.name)] ^= mark(record);
+        }
+        digests
+    }
+
+    /// Returns the records in the parts whose digests differ from those of another roster.
+    pub fn differing(&self, others: &[u32]) -> Vec<Record> {
+        let own = self.digests();
+        let differs = |it: &&Record| {
+            let bucket = bucket(&it.name);
+            others.get(bucket) != Some(&own[bucket])
+        };
+        self.records().filter(differs).cloned().collect()
+    }
+
     /// Returns a digest that is equal on nodes with the same beliefs about which nodes live.
     pub fn digest(&self) -> u32 {
         self.digest
@@ -102,6 +124,10 @@
     }
 }
 
+fn bucket(name: &Name) -> usize {
+    xxh3_64(name.as_str().as_bytes()) as usize % BUCKETS
+}
+
 /// Returns the part of a record in the digest. Suspicion is left out: it comes and goes.
 fn mark(record: &Record) -> u32 {
     if record.state == State::Dead {
--- a/crates/core/src/member/settings.rs
+++ b/crates/core/src/member/settings.rs
@@ -19,9 +19,12 @@
     pub isolation: Duration,
     /// One round in this many also probes a node that is believed dead.
     pub revive_one_in: u32,
-    /// The least time between two exchanges of the whole roster.
-    pub sync_period: Duration,
-    /// Packets with a different roster, in a row, that lead to an exchange of the whole roster.
+    /// The least time between two exchanges of rosters. It doubles with each exchange that does
+    /// not make them equal, up to [`Settings::sync_longest`].
+    pub sync_shortest: Duration,
+    /// The longest time between two exchanges of rosters, while they differ.
+    pub sync_longest: Duration,
+    /// Packets with a different roster, in a row, that lead to an exchange of rosters.
     pub sync_after: u32,
 }
 
@@ -37,7 +40,8 @@
             fanout: 3,
             isolation: Duration::from_secs(6),
             revive_one_in: 4,
-            sync_period: Duration::from_secs(30),
+            sync_shortest: Duration::from_secs(2),
+            sync_longest: Duration::from_secs(32),
             sync_after: 12,
         }
     }
--- a/crates/core/tests/features/mesh/mod.rs
+++ b/crates/core/tests/features/mesh/mod.rs
@@ -213,8 +213,8 @@
         if apart || self.down.contains(&other) || !self.peers.contains_key(&other) {
             return;
         }
-        let records = |it: &Peer| it.roster().records().cloned().collect::<Vec<_>>();
-        let (ours, theirs) = (records(&self.peers[&one]), records(&self.peers[&other]));
+        let (ours, theirs) = (self.peers[&one].roster(), self.peers[&other].roster());
+        let (ours, theirs) = (ours.differing(&theirs.digests()), theirs.differing(&ours.digests()));
         let now = self.now;
         for (address, records) in [(one, theirs), (other, ours)] {
             let peer = self.peers.get_mut(&address).expect("the node exists");
--- a/crates/node/src/fleet/client.rs
+++ b/crates/node/src/fleet/client.rs
@@ -1,4 +1,4 @@
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 
 use jsonrpsee::{
     core::client::Error,
@@ -6,7 +6,7 @@
 };
 use mimosabridge::{
     config::{Bundle, BundleError, Stamp, Step},
-    member::Record,
+    member::{Record, Roster},
 };
 use snafu::Snafu;
 
@@ -47,9 +47,16 @@
         Client { address }
     }
 
-    /// Exchanges whole rosters.
-    pub async fn roster(&self, own: Vec<Record>) -> Result<Vec<Record>, FetchError> {
-        Ok(self.connect().await?.roster(own).await?)
+    /// Exchanges the parts of the rosters that differ, and returns the other node's.
+    pub async fn roster(&self, own: &Roster) -> Result<Vec<Record>, FetchError> {
+        let client = self.connect().await?;
+        let reply = client.roster(own.digests()).await?;
+        let theirs: HashMap<_, _> = reply.records.iter().map(|it| (&it.name, it)).collect();
+        let is_news = |it: &Record| theirs.get(&it.name).is_none_or(|known| it.supersedes(known));
+        let mut ours = own.differing(&reply.digests);
+        ours.retain(is_news);
+        client.learn(ours).await?;
+        Ok(reply.records)
     }
 
     /// Fetches the wanted configuration, as steps from the one that is held where possible.
--- a/crates/node/src/fleet/keeper.rs
+++ b/crates/node/src/fleet/keeper.rs
@@ -22,7 +22,9 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::{Client, ConfigReply, Member, Message, Pulse, View, reader::Reader, seeds::Seeds};
+use super::{
+    Client, ConfigReply, Member, Message, Pulse, RosterReply, View, reader::Reader, seeds::Seeds,
+};
 use crate::{events, metrics::Metrics, platform, timer};
 
 /// How often the rounds of the exchange are looked at.
@@ -189,10 +191,10 @@
     fn on_message(&mut self, message: Message) {
         let now = self.timer.now();
         match message {
-            Message::Roster(records, reply) => {
-                let _ = reply.send(self.peer.roster().records().cloned().collect());
-                let actions = self.peer.on_roster(records, now);
-                self.act(actions);
+            Message::Roster(digests, reply) => {
+                let roster = self.peer.roster();
+                let records = roster.differing(&digests);
+                let _ = reply.send(RosterReply { digests: roster.digests(), records });
             }
             Message::RosterFetched(records) => {
                 let actions = self.peer.on_roster(records, now);
@@ -281,10 +283,10 @@
     }
 
     fn sync(&self, address: SocketAddr) {
-        let own = self.peer.roster().records().cloned().collect();
+        let own = self.peer.roster().clone();
         let outbox = self.outbox.clone();
         tokio::spawn(async move {
-            if let Ok(records) = Client::new(address).roster(own).await {
+            if let Ok(records) = Client::new(address).roster(&own).await {
                 let _ = outbox.send(Message::RosterFetched(records));
             }
         });
--- a/crates/node/src/fleet/message.rs
+++ b/crates/node/src/fleet/message.rs
@@ -8,14 +8,14 @@
 };
 use tokio::sync::oneshot;
 
-use super::ConfigReply;
+use super::{ConfigReply, RosterReply};
 
 /// What the keeper of the fleet is told.
 #[derive(Debug)]
 pub enum Message {
-    /// Another node sends its roster and asks for this one's.
-    Roster(Vec<Record>, oneshot::Sender<Vec<Record>>),
-    /// Another node's roster has come.
+    /// Another node asks for what differs from the roster with these digests.
+    Roster(Vec<u32>, oneshot::Sender<RosterReply>),
+    /// Records of another node's roster have come.
     RosterFetched(Vec<Record>),
     /// Another node asks for a configuration.
     Config(Stamp, Option<Stamp>, oneshot::Sender<ConfigReply>),
--- a/crates/node/src/fleet/mod.rs
+++ b/crates/node/src/fleet/mod.rs
@@ -15,7 +15,7 @@
     keeper::{Keeper, Parts},
     message::Message,
     pulse::Pulse,
-    rpc::{ConfigReply, PeerClient, PeerServer},
+    rpc::{ConfigReply, PeerClient, PeerServer, RosterReply},
     server::Server,
     view::{Member, View},
 };
--- a/crates/node/src/fleet/rpc.rs
+++ b/crates/node/src/fleet/rpc.rs
@@ -8,15 +8,28 @@
 /// The calls that nodes make to one another to catch up.
 #[rpc(client, server, namespace = "peer")]
 pub trait Peer {
-    /// Exchanges whole rosters.
+    /// Returns the records in the parts of the roster whose digests differ from those given.
     #[method(name = "roster")]
-    async fn roster(&self, own: Vec<Record>) -> RpcResult<Vec<Record>>;
+    async fn roster(&self, digests: Vec<u32>) -> RpcResult<RosterReply>;
+
+    /// Takes records that the caller holds and this node may lack.
+    #[method(name = "learn")]
+    async fn learn(&self, records: Vec<Record>) -> RpcResult<()>;
 
     /// Returns the wanted configuration to a node that holds another, or none.
     #[method(name = "config")]
     async fn config(&self, wanted: Stamp, held: Option<Stamp>) -> RpcResult<ConfigReply>;
 }
 
+/// What differs between two rosters.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct RosterReply {
+    /// The digest of each part of this node's roster.
+    pub digests: Vec<u32>,
+    /// The records of this node in the parts that differ.
+    pub records: Vec<Record>,
+}
+
 /// A configuration on its way to another node.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/node/src/fleet/server.rs
+++ b/crates/node/src/fleet/server.rs
@@ -5,7 +5,7 @@
 use mimosabridge::{config::Stamp, member::Record};
 use tokio::sync::{mpsc, oneshot};
 
-use super::{ConfigReply, Message, PeerServer};
+use super::{ConfigReply, Message, PeerServer, RosterReply};
 
 /// Serves the calls of other nodes.
 pub struct Server {
@@ -29,8 +29,13 @@
 
 #[async_trait]
 impl PeerServer for Server {
-    async fn roster(&self, own: Vec<Record>) -> RpcResult<Vec<Record>> {
-        self.ask(|sender| Message::Roster(own, sender)).await
+    async fn roster(&self, digests: Vec<u32>) -> RpcResult<RosterReply> {
+        self.ask(|sender| Message::Roster(digests, sender)).await
+    }
+
+    async fn learn(&self, records: Vec<Record>) -> RpcResult<()> {
+        let _ = self.keeper.send(Message::RosterFetched(records));
+        Ok(())
     }
 
     async fn config(&self, wanted: Stamp, held: Option<Stamp>) -> RpcResult<ConfigReply> {
