Stop sending on an island that cannot know what operators have published

Cause: a data centre that is cut off from the platform and from the others went on serving, since its nodes hear one another. Operators take out exactly such a data centre, and then it must receive no new work.

Ruled out: each node needs its own contact with the platform (a platform that is down would stop the whole fleet), and any contact is enough (the fault above).

Change: packets tell how long ago any node that the sender hears has read the platform. A node is isolated when that is eight seconds ago and it is alone or in a minority; nodes that leave as planned do not count as lost, suspects do. Also: a view of the fleet is published once a tick and not for each packet, a gate ranks anew only when the configuration or the gates have changed, an entry without gates is not ready, and placements other than the primary are there as baselines for measurement.

Found on the way, first failing: ages that are rounded down on each hop never grow, so an island stayed fresh for ever; they are rounded up now.

The price is that a minority without the platform serves nobody while a split lasts.

--- a/crates/core/src/gate/limiter.rs
+++ b/crates/core/src/gate/limiter.rs
@@ -61,7 +61,7 @@
     /// Returns how many requests may run at once.
     pub fn limit(&self, now: Time) -> u32 {
         let foreign = if now < self.foreign_until { self.foreign } else { 0 };
-        let floor = if self.rank == Rank::Primary { 1 } else { 0 };
+        let floor = if self.rank == Rank::Standby { 0 } else { 1 };
         let room = self.slots.saturating_sub(foreign);
         self.limit.min(room).max(floor)
     }
@@ -145,6 +145,7 @@
         match self.rank {
             Rank::Primary => self.slots,
             Rank::Standby => (self.slots / RANKED_GATES).max(1),
+            Rank::Shared(gates) => (self.slots / gates.max(1)).max(1),
         }
     }
 
--- a/crates/core/src/gate/rank.rs
+++ b/crates/core/src/gate/rank.rs
@@ -5,4 +5,6 @@
     Primary,
     /// Not first: another gate is believed to serve the block.
     Standby,
+    /// One of this many gates that serve the block at once, a baseline for measurement.
+    Shared(u32),
 }
--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -15,6 +15,9 @@
     pub kind: Kind,
     /// The configuration that the sender has in force.
     pub config: Option<Stamp>,
+    /// Tenths of a second since any node that the sender hears has read the platform, rounded up,
+    /// so that the age never shrinks on its way.
+    pub platform_age: u16,
     /// A digest of the roster of the sender.
     pub roster: u32,
     /// News for the receiver.
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -8,6 +8,9 @@
 };
 use crate::{config::Stamp, time::Time};
 
+/// The unit of [`Packet::platform_age`].
+const PLATFORM_AGE_UNIT: Duration = Duration::from_millis(100);
+
 /// The part of a roster, as a divisor, that an exchange must bring to be followed by another soon.
 const MANY_DIVISOR: usize = 20;
 
@@ -24,6 +27,9 @@
     relays: Vec<Relay>,
     next_round: Time,
     last_heard: Option<Time>,
+    platform_heard: Time,
+    /// The time of the latest event.
+    now: Time,
     last_sync: Option<Time>,
     sync_wait: Duration,
     differing: u32,
@@ -56,6 +62,8 @@
             relays: Vec::new(),
             next_round: now,
             last_heard: None,
+            platform_heard: now,
+            now,
             last_sync: None,
             sync_wait: settings.sync_shortest,
             differing: 0,
@@ -83,8 +91,20 @@
         self.config = Some(stamp);
     }
 
-    /// Returns whether there should be other nodes but none was heard for long.
+    /// Takes note that this node has read the platform.
+    pub fn on_platform(&mut self, now: Time) {
+        self.platform_heard = now;
+    }
+
+    /// Returns whether this node cannot know what operators have published: it hears nobody, or
+    /// only a minority of the fleet, none of which has read the platform lately.
     pub fn is_isolated(&self, now: Time) -> bool {
+        let patience = self.settings.platform_patience;
+        let is_stale = now.since(self.platform_heard) >= patience;
+        is_stale && (self.is_alone(now) || self.roster.is_minority())
+    }
+
+    fn is_alone(&self, now: Time) -> bool {
         let others = self.roster.records().any(|it| it.name != self.own.name);
         let heard = self.last_heard.unwrap_or_default();
         (others || !self.seeds.is_empty()) && now.since(heard) >= self.settings.isolation
@@ -103,6 +123,7 @@
 
     /// Announces that this node stops.
     pub fn leave(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Action> {
+        self.now = now;
         self.own.state = State::Leaving;
         self.roster.take(self.own.clone(), now);
         let mut actions = self.announce(News::Member(self.own.clone()), rng);
@@ -112,6 +133,7 @@
 
     /// Takes note that this process slept: whoever did not answer meanwhile is not to blame.
     pub fn on_pause(&mut self, now: Time) {
+        self.now = now;
         self.detector.end();
         self.relays.clear();
         self.roster.excuse(now);
@@ -133,10 +155,13 @@
 
     /// Takes a packet.
     pub fn on_packet(&mut self, packet: Packet, now: Time, rng: &mut impl Rng) -> Vec<Action> {
+        self.now = now;
         if packet.from.name == self.own.name {
             return Vec::new();
         }
         self.last_heard = Some(now);
+        let age = PLATFORM_AGE_UNIT * u32::from(packet.platform_age);
+        self.platform_heard = self.platform_heard.max(now.before(age));
         let sender = packet.from.clone();
         let mut actions = self.on_sender(&packet, now);
         actions.extend(self.on_news(packet.news, &sender, now, rng));
@@ -155,6 +180,7 @@
 
     /// Runs the rounds. Call it a few times per [`Settings::ack_timeout`].
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Action> {
+        self.now = now;
         let mut actions = self.ask_helpers(now, rng);
         if now < self.next_round {
             return actions;
@@ -373,10 +399,14 @@
     }
 
     fn empty(&self, kind: Kind) -> Packet {
+        let age = self.now.since(self.platform_heard);
+        let age = age.as_millis().div_ceil(PLATFORM_AGE_UNIT.as_millis());
+        let platform_age = u16::try_from(age).unwrap_or(u16::MAX);
         Packet {
             from: self.own.clone(),
             kind,
             config: self.config,
+            platform_age,
             roster: self.roster.digest(),
             news: Vec::new(),
         }
--- a/crates/core/src/member/roster.rs
+++ b/crates/core/src/member/roster.rs
@@ -24,6 +24,8 @@
 struct Known {
     record: Record,
     since: Time,
+    /// The node is dead and did not leave first.
+    lost: bool,
 }
 
 impl Roster {
@@ -71,6 +73,14 @@
         self.records().filter(differs).cloned().collect()
     }
 
+    /// Returns whether the nodes that answer are no more than those that were lost without a word
+    /// or do not answer lately.
+    pub fn is_minority(&self) -> bool {
+        let suspect = self.records().filter(|it| it.state == State::Suspect).count();
+        let lost = self.records.values().filter(|it| it.lost).count();
+        self.live() - suspect <= lost + suspect
+    }
+
     /// Returns a digest that is equal on nodes with the same beliefs about which nodes live.
     pub fn digest(&self) -> u32 {
         self.digest
@@ -86,7 +96,9 @@
             return false;
         }
         self.digest ^= mark(&record);
-        let old = self.records.insert(record.name.clone(), Known { record, since: now });
+        let has_left = known.is_some_and(|it| it.record.state == State::Leaving);
+        let lost = record.state == State::Dead && !has_left;
+        let old = self.records.insert(record.name.clone(), Known { record, since: now, lost });
         if let Some(old) = old {
             self.digest ^= mark(&old.record);
         }
--- a/crates/core/src/member/settings.rs
+++ b/crates/core/src/member/settings.rs
@@ -17,6 +17,9 @@
     pub fanout: usize,
     /// Time without any packet after which this node counts as isolated.
     pub isolation: Duration,
+    /// Time without a read of the platform by any node that is heard, after which a minority of
+    /// the fleet counts as isolated.
+    pub platform_patience: Duration,
     /// One round in this many also probes a node that is believed dead.
     pub revive_one_in: u32,
     /// The least time between two exchanges of rosters. It doubles with each exchange that does
@@ -39,6 +42,7 @@
             memory: Duration::from_secs(3_600),
             fanout: 3,
             isolation: Duration::from_secs(6),
+            platform_patience: Duration::from_secs(8),
             revive_one_in: 4,
             sync_shortest: Duration::from_secs(2),
             sync_longest: Duration::from_secs(32),
--- a/crates/core/src/route/table.rs
+++ b/crates/core/src/route/table.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use rand::{Rng, RngExt};
+use rand::{Rng, RngExt, seq::IndexedRandom};
 
 use super::{Distance, Load, Reach, Replica};
 use crate::{
@@ -12,7 +12,7 @@
     gate::RANKED_GATES,
     name::Name,
     outcome::Hint,
-    place::{self, Block},
+    place::{self, Block, Placement},
     query::{Route, Target},
     snapshot::Holdings,
     time::Time,
@@ -39,6 +39,7 @@
     gates: BTreeMap<Name, Name>,
     lost_gates: HashMap<Name, Time>,
     leaving: HashSet<Name>,
+    placement: Placement,
 }
 
 impl Table {
@@ -54,9 +55,16 @@
             gates: BTreeMap::new(),
             lost_gates: HashMap::new(),
             leaving: HashSet::new(),
+            placement: Placement::Primary,
         }
     }
 
+    /// Replaces the placement, for measurement.
+    pub fn with_placement(mut self, placement: Placement) -> Table {
+        self.placement = placement;
+        self
+    }
+
     /// Replaces the default distances.
     pub fn with_distance(mut self, distance: Distance) -> Table {
         self.distance = distance;
@@ -179,6 +187,11 @@
         let mut detours = Vec::with_capacity(ranked.len());
         for (_, replica) in ranked {
             let Some(gate) = self.gate(replica, now) else { continue };
+            let gate = if self.placement == Placement::Spread {
+                replica.gates.choose(rng).unwrap_or(gate)
+            } else {
+                gate
+            };
             let route = |gate: &Name| Route { server: replica.name.clone(), gate: gate.clone() };
             routes.push(route(gate));
             detours.extend(replica.gates.iter().find(|it| *it != gate).map(route));
--- a/crates/core/src/time/mod.rs
+++ b/crates/core/src/time/mod.rs
@@ -37,6 +37,11 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 
+    /// Returns the time that lies `span` earlier, or the origin.
+    pub fn before(self, span: Duration) -> Time {
+        Time(self.0.saturating_sub(span.as_micros() as u64))
+    }
+
     /// Returns the span until `later`, or zero if `later` has passed.
     pub fn until(self, later: Time) -> Duration {
         later.since(self)
--- a/crates/core/tests/features/membership.rs
+++ b/crates/core/tests/features/membership.rs
@@ -119,17 +119,44 @@
     assert!(mesh.agrees(NODES));
 }
 
-#[test]
-fn cut_off() {
+/// A node that is cut off alone, and a minority of the fleet, know that they cannot know.
+#[rstest]
+#[case::one_node(1)]
+#[case::minority(NODES / 3)]
+fn cut_off(#[case] count: usize) {
     let mut mesh = Mesh::joined(NODES, 9);
-    assert!(!mesh.peers[&address(2)].is_isolated(mesh.now));
-    mesh.island = [address(2)].into();
-    mesh.run(seconds(10));
-    assert!(mesh.peers[&address(2)].is_isolated(mesh.now));
-    assert!(!mesh.peers[&address(1)].is_isolated(mesh.now));
+    mesh.readers = [address(NODES - 1)].into();
+    mesh.run(seconds(20));
+    assert!(mesh.isolated().is_empty());
+    mesh.island = (0..count).map(address).collect();
+    mesh.run(seconds(30));
+    assert_eq!(mesh.isolated(), (0..count).map(address).collect());
     mesh.island.clear();
-    mesh.run(seconds(10));
-    assert!(!mesh.peers[&address(2)].is_isolated(mesh.now));
+    mesh.run(seconds(30));
+    assert!(mesh.isolated().is_empty());
+}
+
+#[test]
+fn reader_in_minority() {
+    let mut mesh = Mesh::joined(NODES, 9);
+    mesh.readers = [address(0), address(NODES - 1)].into();
+    mesh.island = (0..NODES / 3).map(address).collect();
+    mesh.run(seconds(30));
+    assert!(mesh.isolated().is_empty(), "both sides read what operators publish");
+}
+
+#[test]
+fn platform_down() {
+    let mut mesh = Mesh::joined(NODES, 9);
+    mesh.run(seconds(60));
+    assert!(mesh.isolated().is_empty(), "without a split the fleet goes on");
+    for number in 0..NODES / 3 {
+        mesh.leave(number);
+        mesh.run(seconds(1));
+        mesh.down.insert(address(number));
+    }
+    mesh.run(seconds(60));
+    assert!(mesh.isolated().is_empty(), "nodes that left are not lost");
 }
 
 #[test]
--- a/crates/core/tests/features/mesh/mod.rs
+++ b/crates/core/tests/features/mesh/mod.rs
@@ -28,6 +28,8 @@
     /// Nodes that hear only one another.
     pub island: HashSet<SocketAddr>,
     pub loss: f64,
+    /// Nodes that read the platform all the time.
+    pub readers: HashSet<SocketAddr>,
     /// When each peer was first told each news that is not of members.
     pub told: HashMap<SocketAddr, Vec<(Time, News)>>,
     pub largest: usize,
@@ -67,6 +69,7 @@
             asleep: HashSet::new(),
             island: HashSet::new(),
             loss: 0.0,
+            readers: HashSet::new(),
             told: HashMap::new(),
             largest: 0,
             rng: StdRng::seed_from_u64(seed),
@@ -141,6 +144,12 @@
         up.clone().all(|(_, it)| alive(it) == count)
     }
 
+    /// Returns the nodes that count themselves as isolated.
+    pub fn isolated(&self) -> HashSet<SocketAddr> {
+        let up = self.peers.iter().filter(|(address, _)| !self.down.contains(address));
+        up.filter(|(_, it)| it.is_isolated(self.now)).map(|(address, _)| *address).collect()
+    }
+
     /// Returns how many nodes were told a news item by now.
     pub fn heard(&self, news: &News) -> usize {
         self.told.values().filter(|it| it.iter().any(|(_, told)| told == news)).count()
@@ -154,6 +163,9 @@
             }
             let now = self.now;
             let peer = self.peers.get_mut(&address).expect("the node exists");
+            if self.readers.contains(&address) {
+                peer.on_platform(now);
+            }
             let actions = peer.tick(now, &mut self.rng);
             self.act(address, actions);
         }
--- a/crates/core/tests/features/tickets.rs
+++ b/crates/core/tests/features/tickets.rs
@@ -5,6 +5,7 @@
 use mimosabridge::{
     fingerprint::Fingerprint,
     name::Name,
+    place,
     query::Answer,
     ticket::{Begin, Table, Ticket},
     time::Time,
@@ -90,3 +91,15 @@
         assert!(wrong.parse::<Ticket>().is_err(), "{wrong:?}");
     }
 }
+
+/// Why a request is not owned by a hash over the roster: two rosters give two owners.
+#[test]
+fn hash_owner_differs() {
+    let all = ["entry-1", "entry-2", "entry-3"].map(Name::from);
+    let key = 7;
+    let owner = place::rank(key, &all, 1);
+    let rest: Vec<_> = all.iter().filter(|it| !owner.contains(it)).cloned().collect();
+    let other = place::rank(key, &rest, 1);
+    assert_eq!(owner.len(), 1);
+    assert_ne!(owner, other, "whoever believes the owner dead runs the request elsewhere");
+}
--- a/crates/node/src/entry/front.rs
+++ b/crates/node/src/entry/front.rs
@@ -1,12 +1,16 @@
-use std::sync::{
-    Arc, Mutex, MutexGuard,
-    atomic::{AtomicBool, AtomicU64, Ordering},
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
 };
 
 use mimosabridge::{
     fingerprint::Fingerprint,
     name::Name,
     outcome::{Hint, Outcome, Refusal},
+    place::Placement,
     quarantine::List,
     query::Answer,
     time::Time,
@@ -40,6 +44,10 @@
     pub metrics: Metrics,
     /// Starts the spans of this node.
     pub tracer: Tracer,
+    /// The name of this node.
+    pub name: Name,
+    /// Which gates reach a server at once.
+    pub placement: Placement,
 }
 
 /// What the sessions of an entry share.
@@ -52,6 +60,8 @@
     pub metrics: Metrics,
     /// Starts the spans of this node.
     pub tracer: Tracer,
+    name: Name,
+    placement: Placement,
     view: watch::Receiver<Arc<View>>,
     pulse: Pulse,
     quarantine: Arc<Mutex<List>>,
@@ -68,10 +78,12 @@
             links: Links::new(),
             metrics: parts.metrics,
             tracer: parts.tracer,
+            name: parts.name,
+            placement: parts.placement,
             view: parts.view,
             pulse: parts.pulse,
             quarantine: parts.quarantine,
-            state: Mutex::new(State::new(parts.data_centre, parts.boot)),
+            state: Mutex::new(State::new(parts.data_centre, parts.boot, parts.placement)),
             next_call: AtomicU64::new(parts.boot << 24),
             stopping: AtomicBool::new(false),
         }
@@ -85,7 +97,9 @@
     /// Returns whether callers should be sent here.
     pub fn is_ready(&self) -> bool {
         let stopping = self.stopping.load(Ordering::Relaxed);
-        !stopping && !self.pulse.is_isolated() && self.view.borrow().config.is_some()
+        let view = self.view.borrow();
+        let can_serve = view.config.is_some() && !view.gates.is_empty();
+        can_serve && !stopping && !self.pulse.is_isolated()
     }
 
     /// Tells the balancer to move its callers, while they are still served.
@@ -108,13 +122,22 @@
                 state.chooser.reset();
                 state.holdings.retain(|it| view.set.servers.contains_key(it));
             }
-            state.table.set_gates(view.gate_places());
+            state.table.set_gates(self.gates(&view));
             state.table.set_leaving(view.leaving.clone());
             drop(state);
             self.links.retain(&view);
         }
     }
 
+    /// Returns the gates that attempts may go through.
+    fn gates(&self, view: &View) -> BTreeMap<Name, Name> {
+        let mut gates = view.gate_places();
+        if let Placement::Direct { .. } = self.placement {
+            gates.retain(|name, _| *name == self.name);
+        }
+        gates
+    }
+
     /// Serves a request, unless it must be turned away. It is dropped when `cancelled`.
     pub async fn serve(self: &Arc<Self>, request: Request, cancelled: CancellationToken) -> Answer {
         let begun = self.timer.now();
--- a/crates/node/src/entry/state.rs
+++ b/crates/node/src/entry/state.rs
@@ -7,6 +7,7 @@
     admission::Door,
     fingerprint::Fingerprint,
     name::Name,
+    place::Placement,
     retry::{Budget, Latency},
     route::Table,
     snapshot::{Chooser, Holdings},
@@ -58,9 +59,9 @@
 
 impl State {
     /// Creates the state of an entry in `data_centre`.
-    pub fn new(data_centre: Name, seed: u64) -> State {
+    pub fn new(data_centre: Name, seed: u64, placement: Placement) -> State {
         State {
-            table: Table::new(data_centre),
+            table: Table::new(data_centre).with_placement(placement),
             holdings: Holdings::new(),
             chooser: Chooser::new(),
             door: Door::new(DOOR_CAPACITY),
--- a/crates/node/src/fleet/keeper.rs
+++ b/crates/node/src/fleet/keeper.rs
@@ -94,6 +94,8 @@
     fetching: HashMap<Stamp, Origin>,
     leaving: BTreeMap<Name, Sighting>,
     conflicts: BTreeSet<Stamp>,
+    /// The roster has changed since the last view.
+    is_changed: bool,
     started: Time,
 }
 
@@ -130,6 +132,7 @@
             fetching: HashMap::new(),
             leaving: BTreeMap::new(),
             conflicts: BTreeSet::new(),
+            is_changed: false,
             started: now,
         };
         (outbox, tokio::spawn(keeper.run()))
@@ -177,8 +180,10 @@
             self.on_accepted(bundle);
         }
         self.expire_leaving(now);
-        let alone = now.since(self.pulse.contact()) >= PAUSE;
-        self.pulse.set_isolated(alone && self.peer.is_isolated(now));
+        if self.is_changed {
+            self.on_changed();
+        }
+        self.pulse.set_isolated(self.peer.is_isolated(now));
     }
 
     /// Returns whether this node has asked its peers before it trusts the platform.
@@ -210,10 +215,10 @@
                 }
             }
             Message::Published(head) => {
-                self.pulse.beat(now);
+                self.on_platform(now);
                 self.on_published(head);
             }
-            Message::PlatformHeard => self.pulse.beat(now),
+            Message::PlatformHeard => self.on_platform(now),
             Message::Vms(live, leaving) => self.on_vms(&live, &leaving),
             Message::SeenLeaving(server) => self.on_seen_leaving(server),
             Message::SeenCrash(fingerprint, server) => self.on_crash(fingerprint, server),
@@ -237,13 +242,13 @@
                 Action::Sync(address) => self.sync(address),
             }
         }
-        if changed {
-            self.on_changed();
-        }
+        self.is_changed |= changed;
     }
 
-    /// Publishes the view and finds out whether this node reads the platform.
+    /// Publishes the view and finds out whether this node reads the platform. Changes of the
+    /// roster are gathered until the next tick, since many may come at once.
     fn on_changed(&mut self) {
+        self.is_changed = false;
         let own = self.peer.own().clone();
         let records: Vec<_> = self.peer.roster().records().cloned().collect();
         let near = records
@@ -323,6 +328,11 @@
         });
     }
 
+    fn on_platform(&mut self, now: Time) {
+        self.peer.on_platform(now);
+        self.pulse.beat(now);
+    }
+
     fn on_published(&mut self, head: Head) {
         let stamp = head.stamp;
         if !self.chain.wants(stamp, Origin::Published) || self.fetching.contains_key(&stamp) {
@@ -398,7 +408,7 @@
     }
 
     fn on_vms(&mut self, live: &[IpAddr], leaving: &[IpAddr]) {
-        self.pulse.beat(self.timer.now());
+        self.on_platform(self.timer.now());
         self.seeds.set_listed(live);
         self.peer.set_seeds(self.seeds.all());
         let Some(bundle) = self.chain.in_force().cloned() else { return };
--- a/crates/node/src/fleet/pulse.rs
+++ b/crates/node/src/fleet/pulse.rs
@@ -21,10 +21,9 @@
     /// Takes note of a contact.
     pub fn beat(&self, now: Time) {
         self.contact.store(now.as_micros(), Ordering::Relaxed);
-        self.isolated.store(false, Ordering::Relaxed);
     }
 
-    /// Takes note that the node has lost contact.
+    /// Takes note of whether the node has lost contact.
     pub fn set_isolated(&self, isolated: bool) {
         self.isolated.store(isolated, Ordering::Relaxed);
     }
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -1,16 +1,16 @@
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Arc, Mutex},
     time::Duration,
 };
 
 use mimosabridge::{
-    config::Bundle,
+    config::{Bundle, Stamp},
     fingerprint::Fingerprint,
     gate::{self, Action, End, Gate, RANKED_GATES, Rank, Settings, Task},
     name::Name,
     outcome::{Failure, Hint, Outcome, Refusal},
-    place::{self, Block},
+    place::{self, Block, Placement},
     quarantine::List,
     time::Time,
     wire,
@@ -42,6 +42,8 @@
     pub name: Name,
     /// The settings of the decisions.
     pub settings: Settings,
+    /// Which gates reach a server at once.
+    pub placement: Placement,
     /// The timers.
     pub timer: timer::Service,
     /// What is known of the fleet.
@@ -69,6 +71,8 @@
     clients: HashMap<Name, backend::Client>,
     boots: HashMap<Name, u64>,
     next_task: u64,
+    /// The configuration and the gates that the ranks were computed for.
+    planned: Option<(Stamp, BTreeMap<Name, Name>)>,
     held_since: Option<Time>,
     isolated: bool,
     stopping: Option<oneshot::Sender<()>>,
@@ -90,6 +94,7 @@
             clients: HashMap::new(),
             boots: HashMap::new(),
             next_task: 0,
+            planned: None,
             stopping: None,
         };
         tokio::spawn(actor.run());
@@ -272,26 +277,43 @@
         let view = self.parts.view.borrow_and_update().clone();
         let Some(bundle) = &view.config else { return };
         let now = self.parts.timer.now();
-        let ranks = self.ranks(bundle, &view);
-        self.clients.retain(|name, client| {
-            bundle.set.servers.get(name).is_some_and(|it| it.address == client.address())
-        });
-        let mut actions = self.gate.reconfigure(view.set.clone(), ranks, now);
+        let mut actions = Vec::new();
+        let planned = (bundle.stamp, view.gate_places());
+        if self.planned.as_ref() != Some(&planned) {
+            let ranks = self.ranks(bundle, &planned.1);
+            self.planned = Some(planned);
+            actions = self.reconfigure(&view, ranks);
+        }
         for server in &view.leaving {
             actions.extend(self.gate.on_leaving(server, now));
         }
         self.act(actions);
     }
 
-    fn ranks(&self, bundle: &Bundle, view: &View) -> HashMap<Name, Rank> {
-        let gates = view.gate_places();
+    fn reconfigure(&mut self, view: &View, ranks: HashMap<Name, Rank>) -> Vec<Action> {
+        let servers = &view.set.servers;
+        let is_same = |name: &Name, client: &backend::Client| {
+            servers.get(name).is_some_and(|it| it.address == client.address())
+        };
+        self.clients.retain(|name, client| is_same(name, client));
+        self.gate.reconfigure(view.set.clone(), ranks, self.parts.timer.now())
+    }
+
+    fn ranks(&self, bundle: &Bundle, gates: &BTreeMap<Name, Name>) -> HashMap<Name, Rank> {
+        if let Placement::Direct { vms } = self.parts.placement {
+            let shared = |it: &Name| (it.clone(), Rank::Shared(vms));
+            return bundle.set.servers.keys().map(shared).collect();
+        }
         let mut by_block = HashMap::new();
         let mut ranks = HashMap::new();
         for (server, block) in Block::all(&bundle.set) {
             let ranked = by_block
                 .entry(block)
-                .or_insert_with_key(|it| place::gates(it, &gates, RANKED_GATES as usize));
+                .or_insert_with_key(|it| place::gates(it, gates, RANKED_GATES as usize));
             match ranked.iter().position(|it| *it == self.parts.name) {
+                Some(_) if self.parts.placement == Placement::Spread => {
+                    ranks.insert(server, Rank::Shared(ranked.len() as u32));
+                }
                 Some(0) => drop(ranks.insert(server, Rank::Primary)),
                 Some(_) => drop(ranks.insert(server, Rank::Standby)),
                 None => {}
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
-use mimosabridge::name::Name;
+use mimosabridge::{name::Name, place::Placement};
 
 use super::Role;
 
@@ -33,6 +33,8 @@
     pub trace_endpoint: Option<String>,
     /// The part of the requests that are traced, from 0 to 1.
     pub trace_ratio: f64,
+    /// Which gates reach a server at once.
+    pub placement: Placement,
     /// Threads that run tasks; as many as cores if not given.
     pub threads: Option<usize>,
 }
--- a/crates/node/src/node/options.rs
+++ b/crates/node/src/node/options.rs
@@ -1,6 +1,6 @@
 use std::{net::SocketAddr, time::Duration};
 
-use mimosabridge::name::Name;
+use mimosabridge::{name::Name, place::Placement};
 use mimosabridge_cli::{Fault, Options};
 
 use super::{Config, Role};
@@ -21,6 +21,7 @@
   --drain-ms N             how long a planned stop keeps serving callers (5000)
   --trace-endpoint URL     OTLP collector of traces, like http://10.0.0.9:4318/v1/traces (none)
   --trace-ratio F          part of the requests that are traced (0.001)
+  --placement NAME         primary; spread and direct-N are baselines for measurement (primary)
   --threads N              threads that run tasks (one per core)
   --help                   this text";
 
@@ -43,6 +44,7 @@
         drain: Duration::from_millis(options.or("--drain-ms", 5_000)),
         trace_endpoint: options.optional("--trace-endpoint"),
         trace_ratio: options.or("--trace-ratio", 0.001),
+        placement: options.or("--placement", Placement::Primary),
         threads: options.optional("--threads"),
     };
     let unspecified =
--- a/crates/node/src/node/run.rs
+++ b/crates/node/src/node/run.rs
@@ -245,6 +245,7 @@
     gate::Actor::start(gate::Parts {
         name: config.name.clone(),
         settings: Settings::new(),
+        placement: config.placement,
         timer: shared.timer.clone(),
         view: shared.view.clone(),
         pulse: shared.pulse.clone(),
@@ -257,6 +258,8 @@
 
 async fn start_entry(config: &Config, shared: &Shared) -> Result<(SocketAddr, Entry), Fault> {
     let front = Arc::new(Front::new(entry::Parts {
+        name: config.name.clone(),
+        placement: config.placement,
         data_centre: config.data_centre.clone(),
         boot: shared.boot,
         timer: shared.timer.clone(),
--- a/crates/node/tests/fleet/env/mod.rs
+++ b/crates/node/tests/fleet/env/mod.rs
@@ -9,6 +9,7 @@
 use mimosabridge::{
     config::{Bundle, Change, Document, Set, Stamp},
     name::Name,
+    place::Placement,
 };
 use mimosabridge_node::node::{Config, Node, Role};
 use mimosabridge_standin::{
@@ -63,7 +64,6 @@
             fleet.start_node(&format!("entry-{place}"), place, Role::Entry).await;
         }
         fleet.wait_in_force(fleet.bundle.stamp).await;
-        fleet.wait("the nodes find one another", |it| it.sees_all()).await;
         fleet
     }
 
@@ -84,6 +84,7 @@
             drain: Duration::from_millis(200),
             trace_endpoint: self.collector.as_ref().map(Collector::url),
             trace_ratio: 1.0,
+            placement: Placement::Primary,
             threads: None,
         };
         let node = Node::start(config).await.expect("free ports are found");
@@ -111,10 +112,11 @@
         self.nodes[node].view().borrow().config.as_ref().map(|it| it.stamp)
     }
 
-    /// Waits until a configuration is in force everywhere.
+    /// Waits until a configuration is in force everywhere and every node knows all others.
     pub async fn wait_in_force(&self, stamp: Stamp) {
         let everywhere = |it: &Fleet| it.nodes.keys().all(|node| it.in_force(node) == Some(stamp));
         self.wait("the configuration is in force everywhere", everywhere).await;
+        self.wait("the nodes find one another", |it| it.sees_all()).await;
     }
 
     /// Waits until a condition holds.
--- a/crates/standin/src/bin/mimosabridge-site.rs
+++ b/crates/standin/src/bin/mimosabridge-site.rs
@@ -10,7 +10,7 @@
 const USAGE: &str = "\
 Runs the backend servers and the platform of a site, and publishes its configuration.
 
-  --site NAME            riego or consorzio (riego)
+  --site NAME            riego, consorzio, or wide-N with N shards (riego)
   --listen IP:PORT       where the platform listens; the servers take the ports after it (required)
   --straggle F           part of requests that straggle (0.01)
   --threads N            threads that run the stand-ins (2)
@@ -43,7 +43,7 @@
 fn parse(mut options: Options) -> Result<Config, Fault> {
     let name = options.or("--site", "riego".to_owned());
     let site = Site::by_name(&name).unwrap_or_else(|| {
-        options.reject(format!("`--site {name}` is not known; use riego or consorzio"));
+        options.reject(format!("`--site {name}` is not known; use riego, consorzio or wide-N"));
         Site::riego()
     });
     let config = Config {
--- a/crates/standin/src/site/site.rs
+++ b/crates/standin/src/site/site.rs
@@ -23,8 +23,11 @@
 }
 
 impl Site {
-    /// Returns a site by its name.
+    /// Returns a site by its name: `riego`, `consorzio`, or `wide-` with a number of shards.
     pub fn by_name(name: &str) -> Option<Site> {
+        if let Some(shards) = name.strip_prefix("wide-") {
+            return shards.parse().ok().map(Site::wide);
+        }
         match name {
             "riego" => Some(Site::riego()),
             "consorzio" => Some(Site::consorzio()),
@@ -32,6 +35,26 @@
         }
     }
 
+    /// Returns a site for measurement: one data centre, and one rule that reaches `shards` shards
+    /// on a server each.
+    pub fn wide(shards: usize) -> Site {
+        let group = Group {
+            rule: "wide",
+            services: 1,
+            servers: shards,
+            replicas: 1,
+            slots: 64,
+            connections: 300,
+            connect_cost: Duration::from_millis(1),
+            service_time: Duration::from_millis(2),
+            class: Class::Interactive,
+            deadline: Duration::from_millis(2_000),
+            rate: 1.0,
+            cancelled: 0.0,
+        };
+        Site { name: "wide", data_centres: vec!["a"], groups: vec![group] }
+    }
+
     /// Returns the model of Riego in Lima.
     pub fn riego() -> Site {
         let planning = Group {
--- a/crates/tools/src/bench/config.rs
+++ b/crates/tools/src/bench/config.rs
@@ -12,9 +12,10 @@
 use serde_json::json;
 
 use super::{
-    Sample, Usage,
+    Sample,
     sample::{print, round},
 };
+use crate::usage::Usage;
 
 const DATA_CENTRES: usize = 11;
 const REGIONS: usize = 4;
--- a/crates/tools/src/bench/mod.rs
+++ b/crates/tools/src/bench/mod.rs
@@ -6,12 +6,10 @@
 mod options;
 mod peers;
 mod sample;
-mod usage;
 
 pub use self::{
     options::{Command, USAGE, parse},
     sample::Sample,
-    usage::Usage,
 };
 
 use mimosabridge_cli::{ExitCode, Fault};
--- a/crates/tools/src/bench/peers.rs
+++ b/crates/tools/src/bench/peers.rs
@@ -7,6 +7,7 @@
 use mimosabridge::{
     config::{Bundle, Change, Intake, Stamp},
     name::Name,
+    place::Placement,
 };
 use mimosabridge_cli::Fault;
 use mimosabridge_node::node::{Config, Node, Role};
@@ -14,10 +15,8 @@
 use serde_json::json;
 use snafu::ResultExt;
 
-use super::{
-    Usage,
-    sample::{print, round},
-};
+use super::sample::{print, round};
+use crate::usage::Usage;
 
 const POLL: Duration = Duration::from_millis(10);
 const DATA_CENTRES: usize = 11;
@@ -131,6 +130,7 @@
         drain: Duration::ZERO,
         trace_endpoint: None,
         trace_ratio: 0.0,
+        placement: Placement::Primary,
         threads: None,
     }
 }
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod bench;
 pub mod config;
 pub mod load;
+pub mod usage;
--- a/crates/tools/src/load/options.rs
+++ b/crates/tools/src/load/options.rs
@@ -7,13 +7,14 @@
 pub const USAGE: &str = "\
 Puts the load of a site on a fleet and prints what came of it, one JSON object per rule.
 
-  --site NAME            riego or consorzio (riego)
+  --site NAME            riego, consorzio, or wide-N with N shards (riego)
   --entries IP:PORT,...  where the entries take callers (required)
   --servers IP:PORT      where the first modelled server of the site listens (required)
   --scale F              factor on every rate of the site (1)
   --warm-up N            seconds before counting starts (5)
   --seconds N            seconds that are counted (20)
   --rules NAME,...       only the load on these rules (all)
+  --processes N,N,...    process numbers whose use of the processor is reported too
   --seed N               seed of the random choices (1)
   --help                 this text
 
@@ -37,6 +38,8 @@
     pub counted: Duration,
     /// Only the load on these rules, or all if empty.
     pub rules: Vec<String>,
+    /// Processes whose use of the processor is reported too.
+    pub processes: Vec<u32>,
     /// Seed of the random choices.
     pub seed: u64,
 }
@@ -45,7 +48,7 @@
 pub fn parse(mut options: Options) -> Result<Config, Fault> {
     let name = options.or("--site", "riego".to_owned());
     let site = Site::by_name(&name).unwrap_or_else(|| {
-        options.reject(format!("`--site {name}` is not known; use riego or consorzio"));
+        options.reject(format!("`--site {name}` is not known; use riego, consorzio or wide-N"));
         Site::riego()
     });
     let entries = options.list("--entries");
@@ -60,6 +63,7 @@
         warm_up: Duration::from_secs(options.or("--warm-up", 5)),
         counted: Duration::from_secs(options.or("--seconds", 20)),
         rules: options.list("--rules"),
+        processes: options.list("--processes"),
         seed: options.or("--seed", 1),
     };
     options.finish()?;
--- a/crates/tools/src/load/run.rs
+++ b/crates/tools/src/load/run.rs
@@ -3,6 +3,7 @@
 use mimosabridge_cli::{ExitCode, Fault};
 use mimosabridge_standin::{searcher::Stats, site::Workload};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
+use serde_json::json;
 use snafu::ResultExt;
 use tokio::{task::JoinHandle, time::Instant};
 
@@ -11,6 +12,7 @@
     caller::{Caller, interval, patience},
     report::Load,
 };
+use crate::usage::Usage;
 
 /// Puts the load on the fleet and prints the reports.
 pub async fn run(config: Config) -> Result<ExitCode, Fault> {
@@ -29,9 +31,11 @@
     }
     tokio::time::sleep(config.warm_up).await;
     let before = stats(&http, &config).await?;
+    let used = usage(&config.processes);
     tallies.values().for_each(|it| drop(it.take()));
     tokio::time::sleep(config.counted).await;
     let counts: Vec<_> = tallies.into_iter().map(|(rule, it)| (rule, it.take())).collect();
+    let using = usage(&config.processes);
     let after = stats(&http, &config).await?;
     tasks.iter().for_each(JoinHandle::abort);
     for (rule, counts) in counts {
@@ -42,9 +46,19 @@
         let text = serde_json::to_string(&report);
         println!("{}", text.whatever_context("the report cannot be written as JSON")?);
     }
+    for ((process, before), (_, after)) in used.into_iter().zip(using) {
+        let cpu = (after.cpu - before.cpu).as_secs_f64() / config.counted.as_secs_f64();
+        let memory = after.resident as f64 / 1e6;
+        println!("{}", json!({ "process": process, "cores": cpu, "memory_mb": memory }));
+    }
     Ok(ExitCode::Success)
 }
 
+fn usage(processes: &[u32]) -> Vec<(u32, Usage)> {
+    let usage = |it: &u32| Some((*it, Usage::of(&it.to_string())?));
+    processes.iter().filter_map(usage).collect()
+}
+
 /// Starts the callers of one rule.
 fn start(
     http: reqwest::Client,
--- a/crates/tools/src/bench/usage.rs
+++ b/crates/tools/src/usage.rs
@@ -1,3 +1,5 @@
+//! What processes use of the machine.
+
 use std::{fs, time::Duration};
 
 /// Clock ticks per second in `/proc`.
