Publish a new view only when a node must be used differently

Cause: with 1,200 nodes in one process a change of the configuration never came into force everywhere: every suspicion and every refutation made each node build a view of 1,200 nodes, ten times a second; that took all six cores, so more nodes answered late and were suspected.

Ruled out: the fetch of the configuration (2,000 connections were open and ended), and the ranking of gates (it is done only when gates change).

Change: a record that is taken tells whether it changes how its node is used. A suspicion does not; a node that joins, leaves, dies or moves does.

Conclusion: kept; the storm was one of the machine that runs all nodes, but its cause would cost each node 1% of a core whenever nodes come and go.

--- /dev/null
+++ b/crates/cli/src/binary.rs
@@ -0,0 +1,59 @@
+use std::process;
+
+use snafu::ResultExt;
+use tokio::runtime::Builder;
+
+use crate::{ExitCode, Fault, Options, init_log};
+
+/// One of the project's binaries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Binary {
+    name: &'static str,
+    usage: &'static str,
+}
+
+impl Binary {
+    /// Creates a binary with its help text.
+    pub fn new(name: &'static str, usage: &'static str) -> Binary {
+        Binary { name, usage }
+    }
+
+    /// Parses the options and does the work on a runtime with as many threads as `threads` tells,
+    /// or one for each core. Prints what went wrong.
+    pub fn run<C, W: Future<Output = Result<ExitCode, Fault>>>(
+        self,
+        parse: impl FnOnce(Options) -> Result<C, Fault>,
+        threads: impl FnOnce(&C) -> Option<usize>,
+        work: impl FnOnce(C) -> W,
+    ) -> process::ExitCode {
+        init_log();
+        let result = self.start(parse, threads, work);
+        let code = result.unwrap_or_else(|fault| {
+            for line in fault.lines() {
+                eprintln!("{}: {line}", self.name);
+            }
+            fault.code()
+        });
+        code.into()
+    }
+
+    fn start<C, W: Future<Output = Result<ExitCode, Fault>>>(
+        self,
+        parse: impl FnOnce(Options) -> Result<C, Fault>,
+        threads: impl FnOnce(&C) -> Option<usize>,
+        work: impl FnOnce(C) -> W,
+    ) -> Result<ExitCode, Fault> {
+        let mut options = Options::from_process();
+        if options.flag("--help") {
+            println!("{}", self.usage);
+            return Ok(ExitCode::Success);
+        }
+        let config = parse(options)?;
+        let mut builder = Builder::new_multi_thread();
+        if let Some(threads) = threads(&config) {
+            builder.worker_threads(threads);
+        }
+        let runtime = builder.enable_all().build().whatever_context("cannot start the runtime")?;
+        runtime.block_on(work(config))
+    }
+}
--- a/crates/cli/src/exit_code.rs
+++ b/crates/cli/src/exit_code.rs
@@ -1,7 +1,5 @@
 use std::process;
 
-use crate::Fault;
-
 /// How a binary ends. The codes are documented in `docs/OPERATING.md`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExitCode {
@@ -25,17 +23,3 @@
         })
     }
 }
-
-/// Turns the result of a binary's work into its exit, printing what went wrong.
-pub fn run(name: &str, result: Result<ExitCode, Fault>) -> process::ExitCode {
-    let code = match result {
-        Ok(code) => code,
-        Err(fault) => {
-            for line in fault.lines() {
-                eprintln!("{name}: {line}");
-            }
-            fault.code()
-        }
-    };
-    code.into()
-}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,13 +1,15 @@
 //! Options, exit codes and structured logs shared by the binaries of mimosabridge.
 
+mod binary;
 mod event;
 mod exit_code;
 mod fault;
 mod options;
 
 pub use self::{
+    binary::Binary,
     event::{Event, init_log},
-    exit_code::{ExitCode, run},
+    exit_code::ExitCode,
     fault::Fault,
     options::Options,
 };
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -22,6 +22,6 @@
     packet::{Kind, Packet},
     peer::Peer,
     record::{Incarnation, Record, Roles, State},
-    roster::Roster,
+    roster::{Roster, Taken},
     settings::Settings,
 };
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -1,10 +1,14 @@
-use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use std::{
+    collections::{BTreeSet, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
 
 use rand::{Rng, RngExt, seq::IteratorRandom};
 
 use super::{
     Action, Detector, Incarnation, Kind, News, Outbox, Packet, Record, Roster, Settings, State,
-    detector::Probe,
+    detector::Probe, roster::Taken,
 };
 use crate::{config::Stamp, time::Time};
 
@@ -143,10 +147,8 @@
     /// Takes records of a roster that was exchanged.
     pub fn on_roster(&mut self, records: Vec<Record>, now: Time) -> Vec<Action> {
         let known = self.roster.live();
-        let mut learned = 0;
-        for record in records {
-            learned += usize::from(self.learn(record, now));
-        }
+        let changes = records.into_iter().map(|it| self.learn(it, now));
+        let learned = changes.filter(|it| *it == Taken::Change).count();
         if learned * MANY_DIVISOR > known {
             self.sync_wait = self.settings.sync_shortest;
         }
@@ -197,7 +199,7 @@
     fn on_sender(&mut self, packet: &Packet, now: Time) -> Vec<Action> {
         let mut actions = Vec::new();
         let is_new = self.roster.get(&packet.from.name).is_none();
-        if self.learn(packet.from.clone(), now) {
+        if self.learn(packet.from.clone(), now) == Taken::Change {
             actions.push(Action::Changed);
         }
         if self.needs_sync(packet, is_new, now) {
@@ -242,7 +244,7 @@
             match item {
                 News::Member(record) => {
                     let urgent = record.state == State::Leaving;
-                    if !self.learn(record.clone(), now) {
+                    if self.learn(record.clone(), now) != Taken::Change {
                         continue;
                     }
                     actions.push(Action::Changed);
@@ -256,29 +258,29 @@
         actions
     }
 
-    /// Takes a record, defending this node. Returns whether the roster has changed.
-    fn learn(&mut self, record: Record, now: Time) -> bool {
+    /// Takes a record, defending this node.
+    fn learn(&mut self, record: Record, now: Time) -> Taken {
         if record.name == self.own.name {
-            return self.refute(&record, now);
+            self.refute(&record, now);
+            return Taken::Stale;
         }
-        if !self.roster.take(record.clone(), now) {
-            return false;
+        let taken = self.roster.take(record.clone(), now);
+        if taken != Taken::Stale {
+            self.outbox.push(News::Member(record));
         }
-        self.outbox.push(News::Member(record));
-        true
+        taken
     }
 
     /// Raises the incarnation of this node above a record that is wrong about it.
-    fn refute(&mut self, record: &Record, now: Time) -> bool {
+    fn refute(&mut self, record: &Record, now: Time) {
         if !record.supersedes(&self.own) {
-            return false;
+            return;
         }
         let boot = self.own.incarnation.boot.max(record.incarnation.boot);
         let refutation = record.incarnation.refutation + 1;
         self.own.incarnation = Incarnation { boot, refutation };
         self.roster.take(self.own.clone(), now);
         self.outbox.push(News::Member(self.own.clone()));
-        false
     }
 
     fn on_ack(&mut self, number: u32) -> Option<Action> {
@@ -321,10 +323,14 @@
             State::Leaving => Record { state: State::Dead, ..target },
             State::Suspect | State::Dead => return Vec::new(),
         };
-        if !self.learn(suspect.clone(), now) {
+        let taken = self.learn(suspect.clone(), now);
+        if taken == Taken::Stale {
             return Vec::new();
         }
-        let mut actions = vec![Action::Changed];
+        let mut actions = Vec::new();
+        if taken == Taken::Change {
+            actions.push(Action::Changed);
+        }
         // The suspect itself must hear of it in time to refute.
         let mut packet = self.empty(Kind::Ping(0));
         packet.fill([News::Member(suspect.clone())].into_iter());
@@ -366,7 +372,8 @@
     /// what is believed of it.
     fn revive(&mut self, rng: &mut impl Rng) -> Option<Action> {
         let dead = self.roster.records().filter(|it| it.state == State::Dead);
-        let unknown = self.seeds.iter().filter(|it| self.roster.at(**it).is_none());
+        let known: HashSet<_> = self.roster.records().map(|it| it.peer).collect();
+        let unknown = self.seeds.iter().filter(|it| !known.contains(it));
         let address = dead.map(|it| it.peer).chain(unknown.copied()).choose(rng)?;
         let record = self.roster.at(address).cloned();
         let mut packet = self.empty(Kind::Ping(0));
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -60,6 +60,14 @@
         (self.incarnation, self.state) > (known.incarnation, known.state)
     }
 
+    /// Returns whether a node is used the same under either record.
+    pub fn is_used_like(&self, other: &Record) -> bool {
+        let use_of = |it: &Record| {
+            (it.takes_work(), it.state == State::Dead, it.rpc, it.roles, it.data_centre.clone())
+        };
+        use_of(self) == use_of(other)
+    }
+
     /// Returns whether the node takes new work.
     pub fn takes_work(&self) -> bool {
         matches!(self.state, State::Alive | State::Suspect)
--- a/crates/core/src/member/roster.rs
+++ b/crates/core/src/member/roster.rs
@@ -20,6 +20,17 @@
     digest: u32,
 }
 
+/// What became of a record that was offered to a roster.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Taken {
+    /// It says no more than what is known.
+    Stale,
+    /// It was taken, and changes nothing about how the node is used.
+    Detail,
+    /// It was taken, and the node must be used differently.
+    Change,
+}
+
 #[derive(Clone, Debug)]
 struct Known {
     record: Record,
@@ -86,15 +97,16 @@
         self.digest
     }
 
-    /// Takes a record if it says more than what is known. Returns whether it did.
-    pub fn take(&mut self, record: Record, now: Time) -> bool {
+    /// Takes a record if it says more than what is known.
+    pub fn take(&mut self, record: Record, now: Time) -> Taken {
         let known = self.records.get(&record.name);
         if known.is_some_and(|it| !record.supersedes(&it.record)) {
-            return false;
+            return Taken::Stale;
         }
         if known.is_none() && record.state == State::Dead {
-            return false;
+            return Taken::Stale;
         }
+        let is_same = known.is_some_and(|it| it.record.is_used_like(&record));
         self.digest ^= mark(&record);
         let has_left = known.is_some_and(|it| it.record.state == State::Leaving);
         let lost = record.state == State::Dead && !has_left;
@@ -102,7 +114,7 @@
         if let Some(old) = old {
             self.digest ^= mark(&old.record);
         }
-        true
+        if is_same { Taken::Detail } else { Taken::Change }
     }
 
     /// Suspects that have not refuted in time are dead. Returns their new records.
--- a/crates/standin/src/bin/mimosabridge-platform.rs
+++ b/crates/standin/src/bin/mimosabridge-platform.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, net::SocketAddr, path::Path, process};
 
-use mimosabridge_cli::{ExitCode, Fault, Options};
+use mimosabridge_cli::{Binary, ExitCode, Fault, Options};
 use mimosabridge_standin::platform::{Platform, Store};
 use snafu::ResultExt;
 
@@ -13,28 +13,27 @@
   --load DIR             publish the files of a directory, each under its name
   --help                 this text";
 
+struct Config {
+    listen: SocketAddr,
+    load: Option<String>,
+}
+
 fn main() -> process::ExitCode {
-    mimosabridge_cli::init_log();
-    mimosabridge_cli::run("mimosabridge-platform", start())
+    Binary::new("mimosabridge-platform", USAGE).run(parse, |_| Some(1), run)
 }
 
-fn start() -> Result<ExitCode, Fault> {
-    let mut options = Options::from_process();
-    if options.flag("--help") {
-        println!("{USAGE}");
-        return Ok(ExitCode::Success);
-    }
+fn parse(mut options: Options) -> Result<Config, Fault> {
     let listen = options.required("--listen", SocketAddr::from(([127, 0, 0, 1], 0)));
-    let load: Option<String> = options.optional("--load");
+    let load = options.optional("--load");
     options.finish()?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.whatever_context("cannot start the runtime")?.block_on(run(listen, load))
+    Ok(Config { listen, load })
 }
 
-async fn run(listen: SocketAddr, load: Option<String>) -> Result<ExitCode, Fault> {
+async fn run(config: Config) -> Result<ExitCode, Fault> {
+    let listen = config.listen;
     let platform = Platform::start(listen).await;
     let platform = platform.with_whatever_context(|_| format!("cannot listen on {listen}"))?;
-    if let Some(directory) = load {
+    if let Some(directory) = config.load {
         publish(platform.store(), Path::new(&directory))
             .with_whatever_context(|_| format!("cannot read the directory {directory}"))?;
     }
--- a/crates/standin/src/bin/mimosabridge-searcher.rs
+++ b/crates/standin/src/bin/mimosabridge-searcher.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, process, time::Duration};
 
-use mimosabridge_cli::{ExitCode, Fault, Options};
+use mimosabridge_cli::{Binary, ExitCode, Fault, Options};
 use mimosabridge_standin::searcher::{Searcher, Spec};
 use snafu::ResultExt;
 
@@ -29,20 +29,7 @@
 }
 
 fn main() -> process::ExitCode {
-    mimosabridge_cli::init_log();
-    mimosabridge_cli::run("mimosabridge-searcher", start())
-}
-
-fn start() -> Result<ExitCode, Fault> {
-    let mut options = Options::from_process();
-    if options.flag("--help") {
-        println!("{USAGE}");
-        return Ok(ExitCode::Success);
-    }
-    let config = parse(options)?;
-    let runtime =
-        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.whatever_context("cannot start the runtime")?.block_on(run(config))
+    Binary::new("mimosabridge-searcher", USAGE).run(parse, |_| Some(2), run)
 }
 
 fn parse(mut options: Options) -> Result<Config, Fault> {
--- a/crates/standin/src/bin/mimosabridge-site.rs
+++ b/crates/standin/src/bin/mimosabridge-site.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, process};
 
 use mimosabridge::config::{Bundle, Change};
-use mimosabridge_cli::{ExitCode, Fault, Options};
+use mimosabridge_cli::{Binary, ExitCode, Fault, Options};
 use mimosabridge_standin::{platform::Platform, searcher::Searcher, site::Site};
 use snafu::ResultExt;
 
@@ -13,6 +13,8 @@
   --site NAME            riego, consorzio, or wide-N with N shards (riego)
   --listen IP:PORT       where the platform listens; the servers take the ports after it (required)
   --straggle F           part of requests that straggle (0.01)
+  --hedge-quantile F     when rules hedge (0.95)
+  --canary-over N        shards above which rules try new contents on one shard first (16)
   --threads N            threads that run the stand-ins (2)
   --help                 this text";
 
@@ -20,24 +22,13 @@
     site: Site,
     listen: SocketAddr,
     straggle: f64,
+    hedge_quantile: f64,
+    canary_over: usize,
     threads: usize,
 }
 
 fn main() -> process::ExitCode {
-    mimosabridge_cli::init_log();
-    mimosabridge_cli::run("mimosabridge-site", start())
-}
-
-fn start() -> Result<ExitCode, Fault> {
-    let mut options = Options::from_process();
-    if options.flag("--help") {
-        println!("{USAGE}");
-        return Ok(ExitCode::Success);
-    }
-    let config = parse(options)?;
-    let mut builder = tokio::runtime::Builder::new_multi_thread();
-    let runtime = builder.worker_threads(config.threads).enable_all().build();
-    runtime.whatever_context("cannot start the runtime")?.block_on(run(config))
+    Binary::new("mimosabridge-site", USAGE).run(parse, |it| Some(it.threads), run)
 }
 
 fn parse(mut options: Options) -> Result<Config, Fault> {
@@ -50,6 +41,8 @@
         site,
         listen: options.required("--listen", SocketAddr::from(([127, 0, 0, 1], 0))),
         straggle: options.or("--straggle", 0.01),
+        hedge_quantile: options.or("--hedge-quantile", 0.95),
+        canary_over: options.or("--canary-over", 16),
         threads: options.or("--threads", 2),
     };
     options.finish()?;
@@ -70,7 +63,12 @@
     let platform = Platform::start(config.listen).await;
     let platform =
         platform.with_whatever_context(|_| format!("cannot listen on {}", config.listen))?;
-    let bundle = Bundle::first(config.site.config(first));
+    let mut set = config.site.config(first);
+    for rule in set.rules.values_mut() {
+        rule.hedge_quantile = config.hedge_quantile;
+        rule.canary_over = config.canary_over;
+    }
+    let bundle = Bundle::first(set);
     platform.store().publish(&bundle, &Change::between(&Default::default(), &bundle.set));
     platform.run().await;
     Ok(ExitCode::Success)
--- a/crates/tools/src/bench/mod.rs
+++ b/crates/tools/src/bench/mod.rs
@@ -5,6 +5,7 @@
 mod decisions;
 mod options;
 mod peers;
+mod queue;
 mod sample;
 
 pub use self::{
@@ -19,6 +20,7 @@
     match command {
         Command::Config { servers, gates } => config::run(servers, gates),
         Command::Decisions => decisions::run(),
+        Command::Queue => queue::run(),
         Command::Peers { nodes, seconds } => peers::run(nodes, seconds).await?,
     }
     Ok(ExitCode::Success)
--- a/crates/tools/src/bench/options.rs
+++ b/crates/tools/src/bench/options.rs
@@ -6,6 +6,7 @@
 
   mimosabridge-bench decisions   time of each decision of an entry and a gate
   mimosabridge-bench config      time and memory of a large configuration
+  mimosabridge-bench queue       orders of a queue below and above capacity, in virtual time
   mimosabridge-bench peers       the exchange of many nodes, over loopback, in one process
 
   --servers N            backend servers of the configuration (7600)
@@ -26,6 +27,8 @@
     },
     /// Time of each decision.
     Decisions,
+    /// Orders of a queue.
+    Queue,
     /// The exchange of many nodes.
     Peers {
         /// Nodes that exchange packets.
@@ -44,10 +47,12 @@
     let command = match options.argument().as_deref() {
         Some("config") => Command::Config { servers, gates },
         Some("decisions") => Command::Decisions,
+        Some("queue") => Command::Queue,
         Some("peers") => Command::Peers { nodes, seconds },
         other => {
             let name = other.unwrap_or("");
-            options.reject(format!("`{name}` is no benchmark; use config, decisions or peers"));
+            options
+                .reject(format!("`{name}` is no benchmark; use config, decisions, queue or peers"));
             Command::Decisions
         }
     };
--- a/crates/tools/src/bin/mimosabridge-query.rs
+++ b/crates/tools/src/bin/mimosabridge-query.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, process};
 
-use mimosabridge_cli::{ExitCode, Fault, Options};
+use mimosabridge_cli::{Binary, ExitCode, Fault, Options};
 use serde_json::{Value, json};
 use snafu::ResultExt;
 
@@ -26,19 +26,7 @@
 }
 
 fn main() -> process::ExitCode {
-    mimosabridge_cli::init_log();
-    mimosabridge_cli::run("mimosabridge-query", start())
-}
-
-fn start() -> Result<ExitCode, Fault> {
-    let mut options = Options::from_process();
-    if options.flag("--help") {
-        println!("{USAGE}");
-        return Ok(ExitCode::Success);
-    }
-    let config = parse(options)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    runtime.whatever_context("cannot start the runtime")?.block_on(run(config))
+    Binary::new("mimosabridge-query", USAGE).run(parse, |_| Some(1), run)
 }
 
 fn parse(mut options: Options) -> Result<Config, Fault> {
--- /dev/null
+++ b/crates/tools/src/bin/mimosabridge-status.rs
@@ -0,0 +1,10 @@
+//! Shows what the nodes of a fleet believe, side by side.
+
+use std::process;
+
+use mimosabridge_cli::Binary;
+use mimosabridge_tools::status;
+
+fn main() -> process::ExitCode {
+    Binary::new("mimosabridge-status", status::USAGE).run(status::parse, |_| Some(1), status::run)
+}
--- a/crates/tools/src/lib.rs
+++ b/crates/tools/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod bench;
 pub mod config;
 pub mod load;
+pub mod status;
 pub mod usage;
--- a/crates/tools/src/load/options.rs
+++ b/crates/tools/src/load/options.rs
@@ -1,8 +1,10 @@
 use std::{net::SocketAddr, time::Duration};
 
-use mimosabridge_cli::{Fault, Options};
+use mimosabridge_cli::Options;
 use mimosabridge_standin::site::Site;
 
+use super::Fault;
+
 /// The help text.
 pub const USAGE: &str = "\
 Puts the load of a site on a fleet and prints what came of it, one JSON object per rule.
@@ -14,6 +16,8 @@
   --warm-up N            seconds before counting starts (5)
   --seconds N            seconds that are counted (20)
   --rules NAME,...       only the load on these rules (all)
+  --fault NAME           chill, crash or silence a random server again and again (none)
+  --fault-every-ms N     time between two faults (500)
   --processes N,N,...    process numbers whose use of the processor is reported too
   --seed N               seed of the random choices (1)
   --help                 this text
@@ -38,6 +42,10 @@
     pub counted: Duration,
     /// Only the load on these rules, or all if empty.
     pub rules: Vec<String>,
+    /// What is done to random servers, if anything.
+    pub fault: Option<Fault>,
+    /// Time between two faults.
+    pub fault_period: Duration,
     /// Processes whose use of the processor is reported too.
     pub processes: Vec<u32>,
     /// Seed of the random choices.
@@ -45,7 +53,7 @@
 }
 
 /// Parses the options of the tool.
-pub fn parse(mut options: Options) -> Result<Config, Fault> {
+pub fn parse(mut options: Options) -> Result<Config, mimosabridge_cli::Fault> {
     let name = options.or("--site", "riego".to_owned());
     let site = Site::by_name(&name).unwrap_or_else(|| {
         options.reject(format!("`--site {name}` is not known; use riego, consorzio or wide-N"));
@@ -63,6 +71,8 @@
         warm_up: Duration::from_secs(options.or("--warm-up", 5)),
         counted: Duration::from_secs(options.or("--seconds", 20)),
         rules: options.list("--rules"),
+        fault: options.optional("--fault"),
+        fault_period: Duration::from_millis(options.or("--fault-every-ms", 500)),
         processes: options.list("--processes"),
         seed: options.or("--seed", 1),
     };
--- a/crates/tools/src/load/run.rs
+++ b/crates/tools/src/load/run.rs
@@ -30,6 +30,12 @@
         tasks.push(start(http.clone(), config.entries.clone(), workload, seed, tally));
     }
     tokio::time::sleep(config.warm_up).await;
+    if let Some(fault) = config.fault {
+        let servers = config.site.servers(config.servers);
+        let addresses = servers.into_iter().map(|(server, _)| server.address).collect();
+        let faults = fault.repeat(http.clone(), addresses, config.fault_period, config.seed);
+        tasks.push(tokio::spawn(faults));
+    }
     let before = stats(&http, &config).await?;
     let used = usage(&config.processes);
     tallies.values().for_each(|it| drop(it.take()));
--- /dev/null
+++ b/crates/tools/src/status/mod.rs
@@ -0,0 +1,11 @@
+//! What the nodes of a fleet believe, side by side.
+
+mod options;
+mod row;
+mod run;
+
+pub use self::{
+    options::{Config, USAGE, parse},
+    row::Row,
+    run::run,
+};
--- /dev/null
+++ b/crates/tools/tests/features/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the tools, one file a feature.
+
+mod config_command;
+mod example_files;
