--- a/crates/cli/src/json_log.rs
+++ b/crates/cli/src/json_log.rs
@@ -52,9 +52,10 @@
 
 impl<'kvs> VisitSource<'kvs> for Fields {
     fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
-        let value = match value.to_u64() {
-            Some(number) => number.into(),
-            None => value.to_string().into(),
+        let text = value.to_string();
+        let value = match text.parse::<u64>() {
+            Ok(number) => number.into(),
+            Err(_) => text.into(),
         };
         self.0.insert(key.to_string(), value);
         Ok(())
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -208,6 +208,10 @@
             return;
         }
         let known = self.peer.borrow().roster().records().count() as u32;
+        // A node that has found nobody can't tell how many there are.
+        if known < 2 {
+            return;
+        }
         let balancer = &mut self.shared.beliefs.borrow_mut().balancer;
         if known != balancer.nodes() {
             events::NODES.emit(&[("nodes", &known), ("before", &balancer.nodes())]);
