Ask peers at once while the store is lost

Ruled out: the gathering of answers at the peers (0.7 s), which had the version in time. Change: news is pushed to some nodes as soon as the store tells it; a node that has lost the store asks a peer at once when one is ahead, and every 0.6 s in any case; its watches wait 1 s.

--- a/crates/core/src/feed/reader.rs
+++ b/crates/core/src/feed/reader.rs
@@ -9,6 +9,9 @@
 /// How long a watch waits for a change.
 const WATCH: Duration = Duration::from_secs(8);
 
+/// How long a watch waits while the store counts as lost: the answer tells that it is back.
+const PROBE_WATCH: Duration = Duration::from_secs(1);
+
 /// The pause after the first failed read. It doubles with each further one.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -56,7 +59,10 @@
             return Step::Pause(self.next);
         }
         match self.revision {
-            Some(revision) => Step::Watch { after: revision.max(known), wait: WATCH },
+            Some(revision) => {
+                let wait = if self.is_lost() { PROBE_WATCH } else { WATCH };
+                Step::Watch { after: revision.max(known), wait }
+            }
             None => Step::List,
         }
     }
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -11,13 +11,31 @@
 /// gathered, and nodes are told at different times.
 const BEHIND_TIME: Duration = Duration::from_millis(1_300);
 
+/// How often a node that has lost the store asks a peer.
+const ASK_PERIOD: Duration = Duration::from_millis(600);
+
 /// How fresh the contact of a peer with the store must be to stand for this node's own.
 const CONTACT_AGE: Duration = Duration::from_secs(9);
 
-/// Asks some peer for what is published.
-pub async fn from_any(shared: &Shared, exchange: &Exchange) {
-    if let Some(address) = exchange.some_peer() {
-        from(shared, exchange, address).await;
+/// While the store counts as lost, asks a peer as soon as one is ahead, and from time to time in
+/// any case. Never returns.
+pub async fn while_lost(shared: &Shared, exchange: &Exchange, is_lost: bool) {
+    if !is_lost {
+        return std::future::pending().await;
+    }
+    loop {
+        tokio::select! {
+            (address, _) = exchange.ahead() => {
+                if !from(shared, exchange, address).await {
+                    exchange.forget_ahead();
+                }
+            }
+            () = tokio::time::sleep(ASK_PERIOD) => {
+                if let Some(address) = exchange.some_peer() {
+                    from(shared, exchange, address).await;
+                }
+            }
+        }
     }
 }
 
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -12,18 +12,22 @@
         let known = shared.beliefs.borrow().book.revision();
         match reader.step(known, shared.now()) {
             Step::Pause(until) => {
-                if reader.is_lost() {
-                    catch_up::from_any(&shared, &exchange).await;
+                tokio::select! {
+                    () = tokio::time::sleep_until(shared.clock.instant(until)) => {}
+                    () = catch_up::while_lost(&shared, &exchange, reader.is_lost()) => {}
                 }
-                tokio::time::sleep_until(shared.clock.instant(until)).await;
             }
             Step::List => {
                 shared.metrics.store_calls.inc();
-                let result = (source.list)().await;
-                if result.is_ok() {
-                    exchange.on_contact();
+                tokio::select! {
+                    result = (source.list)() => {
+                        if result.is_ok() {
+                            exchange.on_contact();
+                        }
+                        on_list(&shared, &mut reader, result);
+                    }
+                    () = catch_up::while_lost(&shared, &exchange, reader.is_lost()) => {}
                 }
-                on_list(&shared, &mut reader, result);
             }
             Step::Watch { after, wait } => {
                 shared.metrics.store_calls.inc();
@@ -32,10 +36,10 @@
                         if result.is_ok() {
                             exchange.on_contact();
                         }
-                        on_watch(&shared, &mut reader, after, result);
+                        on_watch(&shared, &exchange, &mut reader, after, result);
                     }
-                    () = shared.rewatch.notified() => {}
-                    () = catch_up::when_behind(&shared, &exchange) => {}
+                    () = catch_up::when_behind(&shared, &exchange), if !reader.is_lost() => {}
+                    () = catch_up::while_lost(&shared, &exchange, reader.is_lost()) => {}
                 }
             }
         }
@@ -58,6 +62,7 @@
 
 fn on_watch(
     shared: &Shared,
+    exchange: &Exchange,
     reader: &mut Reader,
     after: u64,
     result: Result<Snapshot, SourceError>,
@@ -76,6 +81,9 @@
                 }
             };
             shared.on_news(&news, "store");
+            if !news.is_empty() {
+                exchange.push_revision(shared.beliefs.borrow().book.revision());
+            }
             reader.on_read(revision, false, shared.now());
         }
         Err(SourceError::Forgotten) => reader.on_forgotten(shared.now()),
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -15,7 +15,6 @@
     time::Time,
 };
 use mimosabridge_node::clock::Clock;
-use tokio::sync::Notify;
 
 use crate::{backend::Pool, events, metrics::Metrics, wire::Headers};
 
@@ -33,8 +32,6 @@
     pub metrics: Metrics,
     /// Whether callers should be sent to this node.
     pub is_ready: Arc<AtomicBool>,
-    /// Told when the watch of the store should begin anew.
-    pub rewatch: Notify,
 }
 
 /// What a node believes.
@@ -70,7 +67,6 @@
             }),
             metrics: Metrics::new(),
             is_ready: Arc::new(AtomicBool::new(false)),
-            rewatch: Notify::new(),
         }
     }
 
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -107,6 +107,15 @@
         self.inner.peer.borrow_mut().set_config(stamp(revision));
     }
 
+    /// Tells some nodes at once that there is something new up to a revision.
+    pub fn push_revision(&self, revision: u64) {
+        self.set_revision(revision);
+        let news = News::Config { stamp: stamp(revision), in_force: true };
+        let rng = &mut *self.inner.rng.borrow_mut();
+        let actions = self.inner.peer.borrow_mut().announce(news, rng);
+        self.inner.act(actions);
+    }
+
     /// Returns where some live node takes calls.
     pub fn some_peer(&self) -> Option<SocketAddr> {
         let peer = self.inner.peer.borrow();
