Test the decisions of nodes that send straight to servers

Cause: plan, directory, feed, balance, scatter, stop and the budget window stood without tests. Ruled out: a timer for requests that are finished; it made the first model run for ever.

--- /dev/null
+++ b/crates/core/tests/direct/budget_window.rs
@@ -0,0 +1,65 @@
+//! Extra requests in a sliding window, shared by all nodes.
+
+use mimosabridge::{
+    retry::{Allowance, Window},
+    time::Time,
+};
+
+const RATIO: f64 = 0.2;
+const BURST: f64 = 58.0;
+
+fn allowance(nodes: u32) -> Allowance {
+    Allowance { ratio: RATIO, burst: BURST, nodes }
+}
+
+#[test]
+fn burst_shared() {
+    let now = Time::from_millis(20_000);
+    let spent: usize = (0..9)
+        .map(|_| {
+            let mut window = Window::new();
+            (0..100).filter(|_| window.spend_retry(&allowance(9), now)).count()
+        })
+        .sum();
+    assert!(spent > 0 && spent as f64 <= BURST, "{spent} extra requests without any request");
+}
+
+#[test]
+fn hedge_reserve() {
+    let now = Time::from_millis(20_000);
+    let mut window = Window::new();
+    let hedges = (0..100).filter(|_| window.spend_hedge(&allowance(1), now)).count();
+    let retries = (0..100).filter(|_| window.spend_retry(&allowance(1), now)).count();
+    assert!(hedges > 0 && retries > 0, "hedges leave room to retries");
+}
+
+/// Counts over every window of ten seconds what nine nodes spend that try an extra request with
+/// each request, while the rate of requests rises and falls.
+#[test]
+fn no_window_exceeds() {
+    let mut windows = vec![Window::new(); 9];
+    let mut requests = Vec::new();
+    let mut extras = Vec::new();
+    for milli in (0..60_000_u64).step_by(3) {
+        let is_busy = milli / 7_000 % 2 == 0;
+        if !is_busy && milli % 30 != 0 {
+            continue;
+        }
+        let now = Time::from_millis(milli);
+        let window = &mut windows[(milli / 3 % 9) as usize];
+        window.on_request(now);
+        requests.push(milli);
+        if window.spend_retry(&allowance(9), now) {
+            extras.push(milli);
+        }
+    }
+    let count = |list: &[u64], from: i64| {
+        list.iter().filter(|it| (**it as i64) >= from && (**it as i64) < from + 10_000).count()
+    };
+    for from in (0..50_000_i64).step_by(100) {
+        let spent = count(&extras, from) as f64;
+        let base = [0, 5_000, 10_000].map(|it| count(&requests, from - it)).into_iter().max();
+        let allowed = RATIO * base.unwrap_or(0) as f64 + BURST;
+        assert!(spent <= allowed, "{spent} extra requests from {from} ms, {allowed} allowed");
+    }
+}
--- /dev/null
+++ b/crates/core/tests/direct/choice_of_server.rs
@@ -0,0 +1,119 @@
+//! Which server gets a request.
+
+use std::time::Duration;
+
+use mimosabridge::{
+    balance::{Purpose, Seen},
+    directory::Entry,
+    feed::Fact,
+    name::Name,
+    plan::{Share, Target},
+};
+
+use crate::fixture::{Node, at, entry, rule, service};
+
+fn node(entries: Vec<Entry>) -> Node {
+    let rules = vec![rule("one", Target::One(Name::new("one")))];
+    Node::new(rules, vec![service("one", 0.0)], entries)
+}
+
+fn pick(node: &mut Node, tried: &[Name], milli: u64) -> Option<String> {
+    let (plan, rule) = (node.plan.clone(), node.rule("one"));
+    let name = Name::new("one");
+    let picked = node.balancer.pick(&name, &rule, &plan, tried, Purpose::First, at(milli));
+    picked.map(|it| it.id.as_str().to_owned())
+}
+
+fn see(node: &mut Node, id: &str, seen: Seen, sent: u64, now: u64) {
+    let rule = node.rule("one");
+    let id = Name::new(id);
+    node.balancer.on_sent(&id, &rule, at(sent));
+    node.balancer.on_end(&id, &rule, at(sent), seen, Duration::from_secs(3), at(now));
+}
+
+fn near_and_far() -> Node {
+    node(vec![entry(1, "one", "a"), entry(2, "one", "b"), entry(3, "one", "c")])
+}
+
+#[test]
+fn near_first() {
+    let mut node = near_and_far();
+    for milli in 0..20 {
+        assert_eq!(pick(&mut node, &[], milli).as_deref(), Some("i-1"));
+    }
+}
+
+#[test]
+fn slow_avoided() {
+    let mut node = near_and_far();
+    for call in 0..20 {
+        see(&mut node, "i-1", Seen::Served, call * 400, call * 400 + 300);
+    }
+    assert_ne!(pick(&mut node, &[], 7_910).as_deref(), Some("i-1"));
+    assert_eq!(pick(&mut node, &[], 40_000).as_deref(), Some("i-1"), "tried again later");
+}
+
+#[test]
+fn stalled_avoided() {
+    let mut node = near_and_far();
+    let rule = node.rule("one");
+    node.balancer.on_sent(&Name::new("i-1"), &rule, at(0));
+    assert_ne!(pick(&mut node, &[], 180).as_deref(), Some("i-1"), "a pause of the server");
+}
+
+#[test]
+fn shedding_avoided() {
+    let mut node = near_and_far();
+    for call in 0..10 {
+        see(&mut node, "i-1", Seen::Shed, call * 10, call * 10 + 1);
+    }
+    assert_ne!(pick(&mut node, &[], 101).as_deref(), Some("i-1"));
+}
+
+#[test]
+fn unreachable_paused() {
+    let mut node = node(vec![entry(1, "one", "a")]);
+    see(&mut node, "i-1", Seen::Unreachable, 0, 1);
+    assert_eq!(pick(&mut node, &[], 2), None);
+    assert!(!node.balancer.is_served(&Name::new("one"), at(2)));
+    assert!(pick(&mut node, &[], 200).is_some(), "tried again after a pause");
+}
+
+#[test]
+fn draining_and_closed() {
+    let mut node = near_and_far();
+    let draining = Entry { is_draining: true, ..entry(1, "one", "a") };
+    node.extend(11, vec![Fact::Server(draining), Fact::Closed(Name::new("b"))], at(0));
+    assert_eq!(pick(&mut node, &[], 1).as_deref(), Some("i-3"));
+    assert_eq!(pick(&mut node, &[Name::new("i-3")], 1), None);
+}
+
+#[test]
+fn connections_shared() {
+    let mut node = node(vec![entry(1, "one", "a")]);
+    node.balancer.set_nodes(9);
+    let rule = node.rule("one");
+    let mut sent = 0;
+    while pick(&mut node, &[], 1).is_some() {
+        node.balancer.on_sent(&Name::new("i-1"), &rule, at(1));
+        sent += 1;
+    }
+    assert!(sent >= 1 && sent * 9 <= 46, "{sent} connections from each of nine nodes");
+}
+
+#[test]
+fn split_by_weight() {
+    let mut node = near_and_far();
+    let share = |service: &str, weight| Share { service: Name::new(service), weight };
+    let shares = [share("x", 0.7), share("y", 0.2), share("z", 0.1)];
+    let name = Name::new("split");
+    let mut count = |service: &str, rounds| {
+        let hits = (0..rounds).filter(|_| {
+            node.balancer.split(&name, &shares).is_some_and(|it| it.as_str() == service)
+        });
+        hits.count()
+    };
+    assert_eq!(count("x", 100), 70);
+    assert_eq!(count("y", 100), 20);
+    assert_eq!(count("z", 100), 10);
+}
--- /dev/null
+++ b/crates/core/tests/direct/cold_share.rs
@@ -0,0 +1,89 @@
+//! Requests to cold servers, summed over all nodes.
+
+use std::time::Duration;
+
+use mimosabridge::{balance::Purpose, directory::Entry, feed::Fact, name::Name, plan::Target};
+
+use crate::fixture::{Node, at, entry, rule, service};
+
+fn nodes(count: u32, rate: f64) -> Vec<Node> {
+    let cold = Entry { cold: Duration::from_secs(30), ..entry(1, "one", "a") };
+    let rules = || vec![rule("one", Target::One(Name::new("one")))];
+    let make = |_| {
+        let mut node = Node::new(rules(), vec![service("one", rate)], vec![cold.clone()]);
+        node.balancer.set_nodes(count);
+        node
+    };
+    (0..count).map(make).collect()
+}
+
+/// Sends as much as is allowed for three seconds and returns when each request was sent.
+fn press(nodes: &mut [Node]) -> Vec<u64> {
+    let mut sent = Vec::new();
+    for milli in 0..3_000 {
+        for node in &mut *nodes {
+            let (plan, rule) = (node.plan.clone(), node.rule("one"));
+            let name = Name::new("one");
+            let first = Purpose::First;
+            let picked = node.balancer.pick(&name, &rule, &plan, &[], first, at(milli));
+            let Some(server) = picked else { continue };
+            node.balancer.on_sent(&server.id, &rule, at(milli));
+            let seen = mimosabridge::balance::Seen::Served;
+            let id = &server.id;
+            node.balancer.on_end(id, &rule, at(milli), seen, Duration::ZERO, at(milli));
+            sent.push(milli);
+        }
+    }
+    sent
+}
+
+#[test]
+fn bound_holds() {
+    let sent = press(&mut nodes(9, 20.0));
+    let most =
+        (0..2_000).map(|from| sent.iter().filter(move |it| (from..from + 1_000).contains(*it)));
+    let most = most.map(Iterator::count).max().unwrap_or(0);
+    assert!(most > 0 && most as f64 <= 20.0 * 1.5 + 5.0, "{most} requests in one second");
+}
+
+#[test]
+fn too_small_a_share() {
+    assert!(press(&mut nodes(20, 1.0)).is_empty(), "less than one request for each node");
+}
+
+#[test]
+fn warm_again() {
+    let mut node = nodes(9, 20.0).remove(0);
+    let (plan, rule) = (node.plan.clone(), node.rule("one"));
+    let name = Name::new("one");
+    let mut count = |from: u64| {
+        let mut sent = 0;
+        for milli in from..from + 100 {
+            let first = Purpose::First;
+            if let Some(server) = node.balancer.pick(&name, &rule, &plan, &[], first, at(milli)) {
+                node.balancer.on_sent(&server.id, &rule, at(milli));
+                let seen = mimosabridge::balance::Seen::Served;
+                let id = &server.id;
+                node.balancer.on_end(id, &rule, at(milli), seen, Duration::ZERO, at(milli));
+                sent += 1;
+            }
+        }
+        sent
+    };
+    assert!(count(1_000) < 10);
+    assert_eq!(count(31_000), 100, "a warm server is not bound");
+}
+
+#[test]
+fn cold_again() {
+    let warm = entry(1, "one", "a");
+    let rules = vec![rule("one", Target::One(Name::new("one")))];
+    let mut node = Node::new(rules, vec![service("one", 20.0)], vec![warm.clone()]);
+    let is_cold = |node: &Node, milli| {
+        node.balancer.server(&warm.id).expect("the server is known").is_cold(at(milli))
+    };
+    assert!(!is_cold(&node, 1));
+    let cold = Entry { cold: Duration::from_secs(3), ..warm.clone() };
+    node.extend(11, vec![Fact::Server(cold)], at(10));
+    assert!(is_cold(&node, 11), "a server may turn cold in the same life");
+}
--- /dev/null
+++ b/crates/core/tests/direct/fixture.rs
@@ -0,0 +1,126 @@
+//! Entries, rules and contexts that tests share.
+
+use std::{sync::Arc, time::Duration};
+
+use mimosabridge::{
+    balance::{Balancer, Settings},
+    directory::Entry,
+    feed::{Book, Fact, Snapshot},
+    name::Name,
+    plan::{Draft, Gather, Limits, Plan, Repeat, Rule, Service, Target},
+    scatter::{Action, Attempt, Context, Verdict},
+    time::Time,
+};
+
+/// A time after the start.
+pub fn at(millis: u64) -> Time {
+    Time::from_millis(10_000 + millis)
+}
+
+/// A server of a service in a data centre, at an address made of its number.
+pub fn entry(number: u16, service: &str, data_centre: &str) -> Entry {
+    Entry {
+        id: Name::new(format!("i-{number}")),
+        service: Name::new(service),
+        address: ([127, 0, 0, 1], 10_000 + number).into(),
+        data_centre: Name::new(data_centre),
+        slots: 6,
+        is_draining: false,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+/// A rule that may repeat requests, with an objective of 200 ms.
+pub fn rule(name: &str, target: Target) -> Rule {
+    Rule {
+        name: Name::new(name),
+        host: Name::new("search.example"),
+        prefix: Name::new(format!("/{name}/")),
+        repeat: Repeat::Idempotent,
+        attempts: 2,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_millis(200),
+        priority: 1,
+        target,
+    }
+}
+
+/// A rule for one server of the service `one`, whose requests may run once.
+pub fn once() -> Rule {
+    Rule { repeat: Repeat::Once, ..rule("once", Target::One(Name::new("one"))) }
+}
+
+/// A rule over shards `s0`, `s1` and so on.
+pub fn gather(shards: usize, least: f64) -> Rule {
+    let shards = (0..shards).map(|it| Name::new(format!("s{it}"))).collect();
+    rule("all", Target::All(Gather { shards, top: 5, least }))
+}
+
+/// A service that accepts 46 connections and whose cold servers bear `cold_rate`.
+pub fn service(name: &str, cold_rate: f64) -> Service {
+    Service { name: Name::new(name), connections: 46, warm_up: Duration::from_secs(3), cold_rate }
+}
+
+pub fn settings() -> Settings {
+    Settings {
+        data_centre: Name::new("a"),
+        extra_ratio: 0.2,
+        extra_burst: 58.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        assumed_nodes: 1,
+    }
+}
+
+/// A node with its beliefs.
+pub struct Node {
+    pub balancer: Balancer,
+    pub book: Book,
+    pub plan: Arc<Plan>,
+}
+
+impl Node {
+    /// Creates a node that knows some rules, services and servers.
+    pub fn new(rules: Vec<Rule>, services: Vec<Service>, entries: Vec<Entry>) -> Node {
+        let mut balancer = Balancer::new(settings(), 7);
+        let mut book = Book::new();
+        let draft = Draft { version: 1, limits: Limits::default(), rules, services };
+        let facts = std::iter::once(Fact::Plan(draft)).chain(entries.into_iter().map(Fact::Server));
+        let snapshot = Snapshot { revision: 10, facts: facts.collect() };
+        book.replace(snapshot, &mut balancer, at(0));
+        let plan = book.plan().expect("a plan was published").clone();
+        Node { balancer, book, plan }
+    }
+
+    pub fn context(&mut self, now: Time) -> Context<'_> {
+        Context { balancer: &mut self.balancer, plan: &self.plan, now }
+    }
+
+    pub fn rule(&self, name: &str) -> Arc<Rule> {
+        let path = format!("/{name}/x");
+        self.plan.find("search.example", &path).expect("the rule exists").clone()
+    }
+
+    pub fn extend(&mut self, revision: u64, facts: Vec<Fact>, now: Time) {
+        self.book.extend(Snapshot { revision, facts }, &mut self.balancer, now);
+    }
+}
+
+/// The attempts among actions.
+pub fn sends(actions: &[Action]) -> Vec<Attempt> {
+    let attempt = |it: &Action| match it {
+        Action::Send(attempt) => Some(attempt.clone()),
+        Action::Finish(_) => None,
+    };
+    actions.iter().filter_map(attempt).collect()
+}
+
+/// The final answer among actions.
+pub fn verdict(actions: &[Action]) -> Option<Verdict> {
+    let verdict = |it: &Action| match it {
+        Action::Finish(verdict) => Some(verdict.clone()),
+        Action::Send(_) => None,
+    };
+    actions.iter().find_map(verdict)
+}
--- /dev/null
+++ b/crates/core/tests/direct/main.rs
@@ -0,0 +1,18 @@
+//! Tests of the decisions of a node that sends straight to servers, one file a feature.
+
+mod fixture;
+mod model;
+
+mod budget_window;
+mod choice_of_server;
+mod cold_share;
+mod crash_witness;
+mod final_answer;
+mod lapsed_entries;
+mod load_patterns;
+mod merged_records;
+mod planned_stop;
+mod published_book;
+mod rule_lookup;
+mod run_steps;
+mod store_reads;
--- /dev/null
+++ b/crates/core/tests/direct/model/server.rs
@@ -0,0 +1,42 @@
+use std::time::Duration;
+
+use mimosabridge::time::Time;
+
+/// A backend server with slots, regular pauses and faults.
+#[derive(Clone, Debug)]
+pub struct Server {
+    /// When each slot is free again.
+    slots: Vec<Time>,
+    /// How many times longer than usual its work takes.
+    pub slowness: f64,
+    /// The share of the requests that it rejects without running them.
+    pub shed: f64,
+    /// Whether it is out of reach.
+    pub is_down: bool,
+    /// A pause, how often it comes, and when the first one is.
+    pub pause: Option<(Duration, Duration, Duration)>,
+}
+
+impl Server {
+    pub fn new(slots: usize) -> Server {
+        let slots = vec![Time::ZERO; slots];
+        Server { slots, slowness: 1.0, shed: 0.0, is_down: false, pause: None }
+    }
+
+    /// Takes a request that arrives, and returns when its answer leaves.
+    pub fn run(&mut self, work: Duration, now: Time) -> Time {
+        let slot = self.slots.iter_mut().min().expect("a server has slots");
+        let start = after_pause((*slot).max(now), self.pause);
+        let end = after_pause(start + work.mul_f64(self.slowness), self.pause);
+        *slot = end;
+        end
+    }
+}
+
+fn after_pause(time: Time, pause: Option<(Duration, Duration, Duration)>) -> Time {
+    let Some((length, period, first)) = pause else { return time };
+    let phase = (time.as_micros() + period.as_micros() as u64 - first.as_micros() as u64)
+        % period.as_micros() as u64;
+    let phase = Duration::from_micros(phase);
+    if phase < length { time + (length - phase) } else { time }
+}
--- /dev/null
+++ b/crates/core/tests/direct/run_steps.rs
@@ -0,0 +1,161 @@
+//! The steps of one request.
+
+use std::time::Duration;
+
+use mimosabridge::{
+    feed::Fact,
+    name::Name,
+    plan::{Rule, Target},
+    scatter::{Attempt, End, Failure, Run, Verdict},
+};
+use rstest::rstest;
+
+use crate::fixture::{Node, at, entry, gather, once, rule, sends, service, verdict};
+
+const PATIENCE: Duration = Duration::from_secs(3);
+
+fn single(rule: Rule) -> Node {
+    let entries = (1..=3).map(|it| entry(it, "one", "a")).collect();
+    Node::new(vec![rule], vec![service("one", 0.0)], entries)
+}
+
+fn sharded(shards: usize, least: f64) -> Node {
+    let mut entries = Vec::new();
+    let mut services = Vec::new();
+    for shard in 0..shards {
+        let name = format!("s{shard}");
+        services.push(service(&name, 0.0));
+        entries.extend((0..3).map(|it| entry((shard * 3 + it) as u16, &name, "a")));
+    }
+    Node::new(vec![gather(shards, least)], services, entries)
+}
+
+fn start(node: &mut Node, name: &str) -> (Run, Vec<Attempt>) {
+    let rule = node.rule(name);
+    let mut context = node.context(at(0));
+    let mut run = Run::new(rule, PATIENCE, &mut context);
+    let actions = run.start(&mut context);
+    assert_eq!(verdict(&actions), None);
+    (run, sends(&actions))
+}
+
+#[test]
+fn served_whole() {
+    let mut node = sharded(4, 0.75);
+    let (mut run, attempts) = start(&mut node, "all");
+    assert_eq!(attempts.len(), 4, "one attempt for each shard");
+    let mut last = Vec::new();
+    for attempt in &attempts {
+        last = run.on_end(attempt.number, End::Served, &mut node.context(at(20)));
+    }
+    let expected = Verdict::Merge { attempts: vec![0, 1, 2, 3], missing: 0 };
+    assert_eq!(verdict(&last), Some(expected));
+}
+
+#[test]
+fn partial_at_objective() {
+    let mut node = sharded(4, 0.75);
+    let (mut run, attempts) = start(&mut node, "all");
+    for attempt in &attempts[..3] {
+        let actions = run.on_end(attempt.number, End::Served, &mut node.context(at(20)));
+        assert_eq!(verdict(&actions), None, "the fourth may still come");
+    }
+    run.on_time(&mut node.context(at(100)));
+    let actions = run.on_time(&mut node.context(at(188)));
+    let expected = Verdict::Merge { attempts: vec![0, 1, 2], missing: 1 };
+    assert_eq!(verdict(&actions), Some(expected));
+}
+
+#[test]
+fn too_few_wait_on() {
+    let mut node = sharded(4, 0.75);
+    let (mut run, attempts) = start(&mut node, "all");
+    for attempt in &attempts[..2] {
+        run.on_end(attempt.number, End::Served, &mut node.context(at(20)));
+    }
+    assert_eq!(verdict(&run.on_time(&mut node.context(at(190)))), None);
+    let actions = run.on_end(attempts[2].number, End::Served, &mut node.context(at(900)));
+    assert!(matches!(verdict(&actions), Some(Verdict::Merge { missing: 1, .. })));
+}
+
+#[test]
+fn hedged_elsewhere() {
+    let mut node = single(rule("one", Target::One(Name::new("one"))));
+    let (mut run, first) = start(&mut node, "one");
+    let due = run.next_time(at(1));
+    assert!(due < at(100), "a hedge comes in time to help");
+    let hedge = sends(&run.on_time(&mut node.context(due)));
+    assert_eq!(hedge.len(), 1);
+    assert!(hedge[0].is_hedge && hedge[0].server.id != first[0].server.id);
+    let later = sends(&run.on_time(&mut node.context(at(190))));
+    assert!(later.is_empty(), "two servers are all that the rule allows");
+    let actions = run.on_end(hedge[0].number, End::Served, &mut node.context(at(190)));
+    assert_eq!(verdict(&actions), Some(Verdict::Pass(hedge[0].number)));
+}
+
+#[rstest]
+#[case::broken(End::Broken)]
+#[case::invalid(End::Invalid)]
+#[case::failed(End::Failed)]
+#[case::silent(End::Silent)]
+fn once_never_repeated(#[case] end: End) {
+    let mut node = single(once());
+    let (mut run, first) = start(&mut node, "once");
+    assert!(sends(&run.on_time(&mut node.context(at(180)))).is_empty(), "no hedge");
+    let actions = run.on_end(first[0].number, end, &mut node.context(at(190)));
+    assert!(sends(&actions).is_empty());
+    let verdict = verdict(&actions);
+    let is_final = matches!(verdict, Some(Verdict::Fail(_) | Verdict::Pass(_)));
+    assert!(is_final, "{verdict:?} is no promise that it did not run");
+}
+
+#[rstest]
+#[case::shed(End::Shed)]
+#[case::misdirected(End::Misdirected)]
+#[case::unsent(End::Unsent)]
+fn once_goes_elsewhere(#[case] end: End) {
+    let mut node = single(once());
+    let (mut run, first) = start(&mut node, "once");
+    let again = sends(&run.on_end(first[0].number, end, &mut node.context(at(5))));
+    assert_eq!(again.len(), 1, "it has not run");
+    let actions = run.on_end(again[0].number, End::Served, &mut node.context(at(30)));
+    assert_eq!(verdict(&actions), Some(Verdict::Pass(again[0].number)));
+}
+
+#[test]
+fn unserved_refused_at_once() {
+    let mut node = sharded(4, 0.75);
+    let gone = (0..6).map(|it| Fact::Gone(entry(it, "s0", "a").id)).collect();
+    node.extend(11, gone, at(0));
+    let rule = node.rule("all");
+    let mut context = node.context(at(0));
+    let mut run = Run::new(rule, PATIENCE, &mut context);
+    let actions = run.start(&mut context);
+    assert!(matches!(verdict(&actions), Some(Verdict::Refuse(_))));
+    assert!(sends(&actions).is_empty(), "other shards would work for nothing");
+}
+
+#[test]
+fn final_at_timeout() {
+    let mut node = single(Rule { timeout: Duration::from_millis(900), ..once() });
+    let (mut run, _) = start(&mut node, "once");
+    let actions = run.on_time(&mut node.context(at(900)));
+    assert_eq!(verdict(&actions), Some(Verdict::Fail(Failure::TimedOut)));
+}
+
+#[test]
+fn late_answer_ignored() {
+    let mut node = single(Rule { timeout: Duration::from_millis(900), ..once() });
+    let (mut run, first) = start(&mut node, "once");
+    run.on_time(&mut node.context(at(900)));
+    let actions = run.on_end(first[0].number, End::Served, &mut node.context(at(950)));
+    assert!(actions.is_empty(), "the caller has its final answer");
+}
+
+#[test]
+fn deadline_handed_on() {
+    let mut node = single(once());
+    let (_, first) = start(&mut node, "once");
+    assert!(first[0].budget <= PATIENCE, "no more time than the caller gives");
+    assert!(first[0].budget > PATIENCE - Duration::from_millis(100));
+}
--- /dev/null
+++ b/crates/core/tests/direct/store_reads.rs
@@ -0,0 +1,65 @@
+//! When a node reads the store.
+
+use std::time::Duration;
+
+use mimosabridge::feed::{Reader, Step};
+
+use crate::fixture::at;
+
+#[test]
+fn list_then_watch() {
+    let mut reader = Reader::new(at(0));
+    assert_eq!(reader.step(0, at(0)), Step::List);
+    reader.on_read(7, true, at(1));
+    assert!(matches!(reader.step(7, at(1)), Step::Watch { after: 7, .. }));
+}
+
+#[test]
+fn changes_gathered() {
+    let mut reader = Reader::new(at(0));
+    reader.on_read(7, true, at(1));
+    reader.on_read(8, false, at(100));
+    let Step::Pause(until) = reader.step(8, at(100)) else { panic!("no pause after a change") };
+    assert!(until > at(400) && until < at(1_500), "in force within seconds");
+    assert!(matches!(reader.step(8, until), Step::Watch { after: 8, .. }));
+}
+
+#[test]
+fn peer_is_ahead() {
+    let mut reader = Reader::new(at(0));
+    reader.on_read(7, true, at(1));
+    assert!(matches!(reader.step(9, at(1)), Step::Watch { after: 9, .. }));
+}
+
+#[test]
+fn history_gone() {
+    let mut reader = Reader::new(at(0));
+    reader.on_read(7, true, at(1));
+    reader.on_forgotten(at(2));
+    assert_eq!(reader.step(9, at(2)), Step::List);
+}
+
+/// A VM that the store turned away held a watch of eight seconds and learned of a version from its
+/// peers after the bound of three seconds.
+#[test]
+fn short_watch_while_lost() {
+    let mut reader = Reader::new(at(0));
+    reader.on_read(7, true, at(1));
+    reader.on_failure(0.5, at(2));
+    assert!(reader.is_lost());
+    let Step::Pause(until) = reader.step(7, at(2)) else { panic!("no pause after a failure") };
+    let Step::Watch { wait, .. } = reader.step(7, until) else { panic!("no watch") };
+    assert!(wait <= Duration::from_secs(1), "a watch of {wait:?} hides that the store is back");
+    reader.on_read(8, false, until);
+    assert!(!reader.is_lost());
+}
+
+#[test]
+fn pauses_bounded() {
+    let mut reader = Reader::new(at(0));
+    for _ in 0..40 {
+        reader.on_failure(1.0, at(0));
+    }
+    let Step::Pause(until) = reader.step(0, at(0)) else { panic!("no pause after a failure") };
+    assert!(until < at(1_500), "a start with the store down must end soon after its return");
+}
--- a/crates/direct/src/feed/source.rs
+++ b/crates/direct/src/feed/source.rs
@@ -4,12 +4,15 @@
 use mimosabridge::feed::Snapshot;
 use snafu::Snafu;
 
+/// A read of the store under way.
+pub type Read = LocalBoxFuture<'static, Result<Snapshot, SourceError>>;
+
 /// Reads the platform's store. The adapter of the platform makes the calls and decodes the items.
 pub struct Source {
     /// Reads everything that is published.
-    pub list: Box<dyn Fn() -> LocalBoxFuture<'static, Result<Snapshot, SourceError>>>,
+    pub list: Box<dyn Fn() -> Read>,
     /// Waits for what is published after a revision.
-    pub watch: Box<dyn Fn(u64, Duration) -> LocalBoxFuture<'static, Result<Snapshot, SourceError>>>,
+    pub watch: Box<dyn Fn(u64, Duration) -> Read>,
 }
 
 /// The store could not be read.
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -150,7 +150,7 @@
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref());
             self.blame(&attempt, end);
-        } else if self.shared.beliefs.borrow().quarantine.len() > 0 {
+        } else if !self.shared.beliefs.borrow().quarantine.is_empty() {
             self.shared.beliefs.borrow_mut().quarantine.clear(self.fingerprint);
         }
         if let Some(reply) = reply {
