Ask again for what a crossing answer of the store held

Ruled out: a late push of news (the VM had its own watch back 0.26 s after the acknowledgement). Change: the reader keeps no revision of its own; each watch begins where the book ends, and the book itself refuses a delta that crosses. Conclusion: one place for the revision. Test crossing_delta_asked_again failed before.

--- a/crates/core/src/feed/book.rs
+++ b/crates/core/src/feed/book.rs
@@ -79,9 +79,19 @@
         news
     }
 
-    /// Takes what was published since the known revision.
-    pub fn extend(&mut self, delta: Snapshot, balancer: &mut Balancer, now: Time) -> Vec<News> {
-        self.revision = self.revision.max(delta.revision);
+    /// Takes what was published after a revision. If a peer has told more meanwhile, the delta
+    /// would undo part of it and is ignored; what it holds beyond must be asked for again.
+    pub fn extend(
+        &mut self,
+        after: u64,
+        delta: Snapshot,
+        balancer: &mut Balancer,
+        now: Time,
+    ) -> Vec<News> {
+        if self.revision > after {
+            return Vec::new();
+        }
+        self.revision = delta.revision.max(after);
         let mut news = Vec::new();
         let mut closed = self.closed.clone();
         for fact in delta.facts {
--- a/crates/core/src/feed/reader.rs
+++ b/crates/core/src/feed/reader.rs
@@ -40,8 +40,8 @@
 /// Decides when this node reads the store, and whether the store counts as lost.
 #[derive(Clone, Copy, Debug)]
 pub struct Reader {
-    /// The revision that was read last; nothing if everything must be read.
-    revision: Option<u64>,
+    /// The store no longer holds the history since what is known.
+    is_forgotten: bool,
     failures: u32,
     next: Time,
     heard: Time,
@@ -50,34 +50,40 @@
 impl Reader {
     /// Creates a reader that has read nothing.
     pub fn new(now: Time) -> Reader {
-        Reader { revision: None, failures: 0, next: now, heard: now }
+        Reader { is_forgotten: false, failures: 0, next: now, heard: now }
     }
 
-    /// Returns the next step. `known` is the revision that is known, be it through a peer.
+    /// Returns the next step. `known` is the revision up to which everything is known, be it
+    /// through a peer; zero if nothing is.
     pub fn step(&self, known: u64, now: Time) -> Step {
         if now < self.next {
             return Step::Pause(self.next);
         }
-        match self.revision {
-            Some(revision) => {
-                let wait = if self.is_lost() { PROBE_WATCH } else { WATCH };
-                Step::Watch { after: revision.max(known), wait }
-            }
-            None => Step::List,
+        if known == 0 || self.is_forgotten {
+            return Step::List;
         }
+        let wait = if self.is_lost() { PROBE_WATCH } else { WATCH };
+        Step::Watch { after: known, wait }
     }
 
-    /// Takes note of an answer that reaches up to a revision.
-    pub fn on_read(&mut self, revision: u64, was_list: bool, now: Time) {
+    /// Takes note of the answer to a list.
+    pub fn on_list(&mut self, now: Time) {
         self.failures = 0;
         self.heard = now;
-        self.revision = Some(self.revision.unwrap_or(0).max(revision));
-        self.next = if was_list { now } else { now + GATHER };
+        self.is_forgotten = false;
+        self.next = now;
+    }
+
+    /// Takes note of the answer to a watch.
+    pub fn on_watch(&mut self, now: Time) {
+        self.failures = 0;
+        self.heard = now;
+        self.next = now + GATHER;
     }
 
     /// Takes note that the history since the revision is not to be had: everything must be read.
     pub fn on_forgotten(&mut self, now: Time) {
-        self.revision = None;
+        self.is_forgotten = true;
         self.heard = now;
         self.next = now;
     }
--- a/crates/core/tests/direct/fixture.rs
+++ b/crates/core/tests/direct/fixture.rs
@@ -103,7 +103,8 @@
     }
 
     pub fn extend(&mut self, revision: u64, facts: Vec<Fact>, now: Time) {
-        self.book.extend(Snapshot { revision, facts }, &mut self.balancer, now);
+        let after = self.book.revision();
+        self.book.extend(after, Snapshot { revision, facts }, &mut self.balancer, now);
     }
 }
 
--- a/crates/core/tests/direct/published_book.rs
+++ b/crates/core/tests/direct/published_book.rs
@@ -23,7 +23,7 @@
     let (mut book, mut balancer) = (Book::new(), Balancer::new(settings(), 1));
     let news = book.replace(delta(10, vec![plan(5)]), &mut balancer, at(0));
     assert_eq!(news, [News::Plan(5)]);
-    assert!(book.extend(delta(11, vec![plan(3)]), &mut balancer, at(1)).is_empty());
+    assert!(book.extend(10, delta(11, vec![plan(3)]), &mut balancer, at(1)).is_empty());
     assert_eq!(book.plan().map(|it| it.version()), Some(5));
 }
 
@@ -47,9 +47,9 @@
 fn closed_and_opened() {
     let (mut book, mut balancer) = (Book::new(), Balancer::new(settings(), 1));
     let place = Name::new("b");
-    book.extend(delta(2, vec![Fact::Closed(place.clone())]), &mut balancer, at(0));
+    book.extend(0, delta(2, vec![Fact::Closed(place.clone())]), &mut balancer, at(0));
     assert!(balancer.closed().contains(&place));
-    book.extend(delta(3, vec![Fact::Opened(place.clone())]), &mut balancer, at(1));
+    book.extend(2, delta(3, vec![Fact::Opened(place.clone())]), &mut balancer, at(1));
     assert!(!balancer.closed().contains(&place));
 }
 
@@ -61,3 +61,16 @@
     let news = book.replace(delta(12, servers[..1].to_vec()), &mut balancer, at(1));
     assert_eq!(news, [News::Server(Change::Removed(Name::new("i-2")))]);
 }
+
+/// A VM whose cut had healed lost a version of the configuration: the answer to its watch crossed a
+/// snapshot of a peer and was ignored, but the next watch began after it.
+#[test]
+fn crossing_delta_asked_again() {
+    let (mut book, mut balancer) = (Book::new(), Balancer::new(settings(), 1));
+    book.replace(delta(72, vec![plan(6)]), &mut balancer, at(0));
+    book.replace(delta(75, vec![plan(6)]), &mut balancer, at(1));
+    let crossing = delta(78, vec![plan(10)]);
+    assert!(book.extend(72, crossing.clone(), &mut balancer, at(2)).is_empty());
+    assert_eq!(book.revision(), 75, "the next watch begins here");
+    assert_eq!(book.extend(75, crossing, &mut balancer, at(3)), [News::Plan(10)]);
+}
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -10,15 +10,15 @@
 fn list_then_watch() {
     let mut reader = Reader::new(at(0));
     assert_eq!(reader.step(0, at(0)), Step::List);
-    reader.on_read(7, true, at(1));
+    reader.on_list(at(1));
     assert!(matches!(reader.step(7, at(1)), Step::Watch { after: 7, .. }));
 }
 
 #[test]
 fn changes_gathered() {
     let mut reader = Reader::new(at(0));
-    reader.on_read(7, true, at(1));
-    reader.on_read(8, false, at(100));
+    reader.on_list(at(1));
+    reader.on_watch(at(100));
     let Step::Pause(until) = reader.step(8, at(100)) else { panic!("no pause after a change") };
     assert!(until > at(400) && until < at(1_500), "in force within seconds");
     assert!(matches!(reader.step(8, until), Step::Watch { after: 8, .. }));
@@ -27,16 +27,18 @@
 #[test]
 fn peer_is_ahead() {
     let mut reader = Reader::new(at(0));
-    reader.on_read(7, true, at(1));
+    reader.on_list(at(1));
     assert!(matches!(reader.step(9, at(1)), Step::Watch { after: 9, .. }));
 }
 
 #[test]
 fn history_gone() {
     let mut reader = Reader::new(at(0));
-    reader.on_read(7, true, at(1));
+    reader.on_list(at(1));
     reader.on_forgotten(at(2));
     assert_eq!(reader.step(9, at(2)), Step::List);
+    reader.on_list(at(3));
+    assert!(matches!(reader.step(9, at(3)), Step::Watch { after: 9, .. }));
 }
 
 /// A VM that the store turned away held a watch of eight seconds and learned of a version from its
@@ -44,13 +46,13 @@
 #[test]
 fn short_watch_while_lost() {
     let mut reader = Reader::new(at(0));
-    reader.on_read(7, true, at(1));
+    reader.on_list(at(1));
     reader.on_failure(0.5, at(2));
     assert!(reader.is_lost());
     let Step::Pause(until) = reader.step(7, at(2)) else { panic!("no pause after a failure") };
     let Step::Watch { wait, .. } = reader.step(7, until) else { panic!("no watch") };
     assert!(wait <= Duration::from_secs(1), "a watch of {wait:?} hides that the store is back");
-    reader.on_read(8, false, until);
+    reader.on_watch(until);
     assert!(!reader.is_lost());
 }
 
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -50,11 +50,10 @@
 fn on_list(shared: &Shared, reader: &mut Reader, result: Result<Snapshot, SourceError>) {
     match result {
         Ok(snapshot) => {
-            let revision = snapshot.revision;
             on_answer(shared, reader);
             let news = replace(shared, snapshot);
             shared.on_news(&news, "store");
-            reader.on_read(revision, true, shared.now());
+            reader.on_list(shared.now());
         }
         Err(error) => on_failure(shared, reader, &error),
     }
@@ -69,22 +68,16 @@
 ) {
     match result {
         Ok(delta) => {
-            let revision = delta.revision;
             on_answer(shared, reader);
             let news = {
                 let beliefs = &mut *shared.beliefs.borrow_mut();
-                // A peer may have told more meanwhile; what this answer says is older then.
-                if beliefs.book.revision() <= after {
-                    beliefs.book.extend(delta, &mut beliefs.balancer, shared.now())
-                } else {
-                    Vec::new()
-                }
+                beliefs.book.extend(after, delta, &mut beliefs.balancer, shared.now())
             };
             shared.on_news(&news, "store");
             if !news.is_empty() {
                 exchange.push_revision(shared.beliefs.borrow().book.revision());
             }
-            reader.on_read(revision, false, shared.now());
+            reader.on_watch(shared.now());
         }
         Err(SourceError::Forgotten) => reader.on_forgotten(shared.now()),
         Err(error) => on_failure(shared, reader, &error),
