Refuse at once what finds no room, and leave out shards that answer too late

Change: a query for which too few shards have room is refused before anything is sent; shards that can't answer before the objective are left out if the answer does without them.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -67,6 +67,15 @@
     Extra,
 }
 
+/// How soon a service may answer. Services that can be tried at once compare less.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Outlook {
+    /// All servers are out of reach.
+    pub is_down: bool,
+    /// The time until the answer of the best server, if it is reached.
+    pub answer: Duration,
+}
+
 /// Chooses servers, and keeps what this node has seen of them.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -154,9 +163,26 @@
         self.window(service).on_request(now);
     }
 
-    /// Returns whether a server of a service could be tried now.
-    pub fn is_served(&self, service: &Name, now: Time) -> bool {
-        self.candidates(service).any(|it| !self.is_down(&it.id, now))
+    /// Returns how soon a request that comes now may be answered by some server of a service.
+    /// Nothing if there is none, or none has room for this node.
+    pub fn outlook(
+        &mut self,
+        service: &Name,
+        rule: &Rule,
+        plan: &Plan,
+        now: Time,
+    ) -> Option<Outlook> {
+        let usual = self.usual(rule);
+        let most = self.connections(service, plan);
+        let fresh = Server::new();
+        let outlook = |entry: &Arc<Entry>| {
+            let server = self.servers.get(&entry.id).unwrap_or(&fresh);
+            let answer = usual.mul_f64(server.slowness(now).max(0.1));
+            let wait = now.until(server.down_until());
+            let has_room = server.running() < most;
+            has_room.then(|| Outlook { is_down: server.is_down(now), answer: wait + answer })
+        };
+        self.candidates(service).filter_map(outlook).min()
     }
 
     /// Returns when a server of a service may be tried, if all are out of reach. Nothing if the
@@ -177,9 +203,7 @@
         now: Time,
     ) -> Option<Arc<Entry>> {
         let usual = self.usual(rule);
-        let connections = plan.service(service).map_or(1, |it| it.connections);
-        let most = (f64::from(connections) * CONNECTIONS_USED / f64::from(self.nodes)) as usize;
-        let most = most.max(1);
+        let most = self.connections(service, plan);
         let cold_share = plan.service(service).and_then(|it| self.cold_share(it.cold_rate));
         let mut best: Option<(f64, Arc<Entry>)> = None;
         let entries: Vec<_> = self.candidates(service).cloned().collect();
@@ -283,8 +307,11 @@
         self.directory.of(service).filter(is_open)
     }
 
-    fn is_down(&self, id: &Name, now: Time) -> bool {
-        self.servers.get(id).is_some_and(|it| it.is_down(now))
+    /// Returns how many connections this node may have to one server of a service.
+    fn connections(&self, service: &Name, plan: &Plan) -> usize {
+        let all = plan.service(service).map_or(1, |it| it.connections);
+        let share = f64::from(all) * CONNECTIONS_USED / f64::from(self.nodes);
+        (share as usize).max(1)
     }
 
     /// Returns the requests per second that this node may send to a cold server, if it is bound.
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -10,7 +10,7 @@
 mod server;
 
 pub use self::{
-    balancer::{Balancer, Purpose, Settings},
+    balancer::{Balancer, Outlook, Purpose, Settings},
     meter::Meter,
     pace::Pace,
     server::{Seen, Server},
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -2,7 +2,7 @@
 
 use super::{Action, Attempt, End, Evidence, Verdict, settle};
 use crate::{
-    balance::{Balancer, Purpose, Seen},
+    balance::{Balancer, Outlook, Purpose, Seen},
     name::Name,
     plan::{Gather, Plan, Repeat, Rule, Target},
     time::Time,
@@ -129,13 +129,27 @@
     }
 
     /// Starts the run: sends the request, or refuses it at once if it can't be served.
+    ///
+    /// Shards that can't answer before the objective are left out if the answer does without
+    /// them: their servers have work that can't be left out.
     pub fn start(&mut self, context: &mut Context<'_>) -> Vec<Action> {
-        let is_served = |it: &Shard| context.balancer.is_served(&it.service, context.now);
-        let served = self.shards.iter().filter(|it| is_served(it)).count();
-        if served < self.needed() {
+        let Context { plan, now, .. } = *context;
+        let until = now.until(self.soft);
+        let outlook = |it: &Shard| context.balancer.outlook(&it.service, &self.rule, plan, now);
+        let outlooks: Vec<_> = self.shards.iter().map(outlook).collect();
+        let can_try = |it: &&Option<Outlook>| it.is_some_and(|it| !it.is_down);
+        if outlooks.iter().filter(can_try).count() < self.needed() {
             let verdict = self.unserved(context, false);
             return vec![self.finish(verdict)];
         }
+        let in_time = |it: &Option<Outlook>| it.is_some_and(|it| it.answer <= until);
+        if outlooks.iter().filter(|it| in_time(it)).count() >= self.needed() {
+            for (shard, outlook) in self.shards.iter_mut().zip(&outlooks) {
+                if !in_time(outlook) {
+                    shard.state = State::Lost;
+                }
+            }
+        }
         let mut actions = self.advance(context);
         actions.extend(self.conclude(context));
         actions
--- a/crates/core/tests/direct/choice_of_server.rs
+++ b/crates/core/tests/direct/choice_of_server.rs
@@ -75,7 +75,9 @@
     let mut node = node(vec![entry(1, "one", "a")]);
     see(&mut node, "i-1", Seen::Unreachable, 0, 1);
     assert_eq!(pick(&mut node, &[], 2), None);
-    assert!(!node.balancer.is_served(&Name::new("one"), at(2)));
+    let (plan, rule) = (node.plan.clone(), node.rule("one"));
+    let outlook = node.balancer.outlook(&Name::new("one"), &rule, &plan, at(2));
+    assert!(outlook.is_some_and(|it| it.is_down && it.answer > Duration::from_millis(50)));
     assert!(pick(&mut node, &[], 200).is_some(), "tried again after a pause");
 }
 
--- a/crates/core/tests/direct/run_steps.rs
+++ b/crates/core/tests/direct/run_steps.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mimosabridge::{
+    balance::Seen,
     feed::Fact,
     name::Name,
     plan::{Rule, Target},
@@ -135,6 +136,65 @@
     assert!(sends(&actions).is_empty(), "other shards would work for nothing");
 }
 
+/// Makes the servers of a shard answer so late that a request can't be answered in time.
+fn slow_down(node: &mut Node, shard: usize) {
+    let rule = node.rule("all");
+    for server in (shard * 3)..(shard * 3 + 3) {
+        let id = entry(server as u16, "", "a").id;
+        for _ in 0..20 {
+            node.balancer.on_sent(&id, &rule, at(0));
+            let sent = at(0);
+            let seen = Seen::Served;
+            node.balancer.on_end(&id, &rule, sent, seen, Duration::ZERO, at(2_000));
+        }
+    }
+}
+
+/// The load: many searchers slow and one shard left with slow ones alone. Quick queries that do
+/// without that shard took its servers from those that don't.
+#[test]
+fn hopeless_left_out() {
+    let mut node = sharded(4, 0.75);
+    slow_down(&mut node, 0);
+    let rule = node.rule("all");
+    let mut context = node.context(at(2_001));
+    let mut run = Run::new(rule, PATIENCE, &mut context);
+    let attempts = sends(&run.start(&mut context));
+    let services: Vec<_> = attempts.iter().map(|it| it.server.service.as_str()).collect();
+    assert_eq!(services, ["s1", "s2", "s3"]);
+    let mut last = Vec::new();
+    for attempt in &attempts {
+        last = run.on_end(attempt.number, End::Served, &mut node.context(at(2_020)));
+    }
+    assert!(matches!(verdict(&last), Some(Verdict::Merge { missing: 1, .. })));
+}
+
+#[test]
+fn slow_shard_still_needed() {
+    let mut node = sharded(4, 1.0);
+    slow_down(&mut node, 0);
+    let rule = node.rule("all");
+    let mut context = node.context(at(2_001));
+    let mut run = Run::new(rule, PATIENCE, &mut context);
+    assert_eq!(sends(&run.start(&mut context)).len(), 4, "late is better than never");
+}
+
+#[test]
+fn no_room_refused_at_once() {
+    let mut node = sharded(4, 1.0);
+    let rule = node.rule("all");
+    for server in 0..3 {
+        let id = entry(server, "", "a").id;
+        for _ in 0..46 {
+            node.balancer.on_sent(&id, &rule, at(0));
+        }
+    }
+    let mut context = node.context(at(1));
+    let mut run = Run::new(rule, PATIENCE, &mut context);
+    let actions = run.start(&mut context);
+    assert!(matches!(verdict(&actions), Some(Verdict::Refuse(_))), "other shards spared");
+}
+
 #[test]
 fn final_at_timeout() {
     let mut node = single(Rule { timeout: Duration::from_millis(900), ..once() });
