--- a/crates/core/tests/direct/run_steps.rs
+++ b/crates/core/tests/direct/run_steps.rs
@@ -141,7 +141,7 @@
     let rule = node.rule("all");
     for server in (shard * 3)..(shard * 3 + 3) {
         let id = entry(server as u16, "", "a").id;
-        for _ in 0..20 {
+        for _ in 0..3 {
             node.balancer.on_sent(&id, &rule, at(0));
             let sent = at(0);
             let seen = Seen::Served;
