Cap the slowness that one answer proves

Cause: a quick request that met a pause of 150 ms counted as thirty times slower than usual, and two in a row left a shard out of the answers to quick queries. Change: a sample counts twelve times the usual latency at most.

--- a/crates/core/src/balance/server.rs
+++ b/crates/core/src/balance/server.rs
@@ -6,6 +6,10 @@
 /// Weight of a new sample in the slowness of a server.
 const SLOWNESS_WEIGHT: f64 = 0.2;
 
+/// The slowest sample that counts as such. A single pause is many times the usual time of a quick
+/// request and must not pass for a slow server.
+const SLOWNESS_MOST: f64 = 12.0;
+
 /// Weight of a new sample in the share of failures of a server.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -162,7 +166,7 @@
     fn learn_slowness(&mut self, sample: f64, now: Time) {
         let known = self.slowness(now);
         let failures = self.failures(now);
-        self.slowness = known + (sample - known) * SLOWNESS_WEIGHT;
+        self.slowness = known + (sample.min(SLOWNESS_MOST) - known) * SLOWNESS_WEIGHT;
         self.failures = failures;
         self.heard = now;
     }
--- a/crates/core/tests/direct/choice_of_server.rs
+++ b/crates/core/tests/direct/choice_of_server.rs
@@ -53,6 +53,21 @@
     assert_eq!(pick(&mut node, &[], 40_000).as_deref(), Some("i-1"), "tried again later");
 }
 
+/// Quick requests that met two pauses in a row left whole shards out of answers.
+#[test]
+fn pauses_are_not_slowness() {
+    let mut node = node(vec![entry(1, "one", "a")]);
+    for call in 0..200 {
+        see(&mut node, "i-1", Seen::Served, call * 10, call * 10 + 5);
+    }
+    see(&mut node, "i-1", Seen::Served, 2_000, 2_150);
+    see(&mut node, "i-1", Seen::Served, 2_001, 2_151);
+    let (plan, rule) = (node.plan.clone(), node.rule("one"));
+    let outlook = node.balancer.outlook(&Name::new("one"), &rule, &plan, at(2_152));
+    let answer = outlook.expect("the server is known").answer;
+    assert!(answer < Duration::from_millis(48), "{answer:?} after two pauses of 150 ms");
+}
+
 #[test]
 fn stalled_avoided() {
     let mut node = near_and_far();
