Test whole nodes and the adapter; name no signature twice

Cause: front, backend connections and the adapter stood without tests of their own; a merged answer that names a signature twice is wrong as a whole, and nothing kept a server's copy out. Change: 38 tests of a node on loopback against servers that break off, answer for another request, answer twice, shed, hang or say a bare 503, and against callers that leave or send what is not proper; tests of the settings file and the store's items; a test that the platform's names stay in the adapter. x-deadline-ms is left out of that list: the product's own interface has that name too.

--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -146,6 +146,7 @@
     }
 
     fn on_ended(&mut self, (attempt, end, reply): Ended) -> Vec<Action> {
+        let end = if self.is_copy(end, reply.as_ref()) { End::Invalid } else { end };
         self.shared.metrics.on_attempt(&attempt.server.service, end);
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref());
@@ -159,6 +160,14 @@
         self.decide(|run, context| run.on_end(attempt.number, end, context))
     }
 
+    /// Returns whether an answer bears the signature of another: a merged answer that names one
+    /// twice would be wrong as a whole.
+    fn is_copy(&self, end: End, reply: Option<&Reply>) -> bool {
+        let Some(signature) = reply.and_then(|it| it.signature.as_ref()) else { return false };
+        let mut known = self.replies.values().filter_map(|it| it.signature.as_ref());
+        end == End::Served && known.any(|it| it == signature)
+    }
+
     /// Finds out whether the request crashed the server.
     fn blame(&mut self, attempt: &Attempt, end: End) {
         let server = &attempt.server.id;
--- /dev/null
+++ b/crates/direct/tests/node/env/mod.rs
@@ -0,0 +1,173 @@
+//! A node with its servers and a caller, all in one process on loopback.
+
+mod caller;
+mod searcher;
+
+use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use http::HeaderName;
+use mimosabridge::{
+    balance,
+    directory::Entry,
+    feed::{Fact, Snapshot},
+    name::Name,
+    plan::{Draft, Gather, Limits, Repeat, Rule, Service, Target},
+};
+use mimosabridge_direct::{
+    feed::Source,
+    node::{self, Settings},
+    wire::Headers,
+};
+use tokio::task::LocalSet;
+
+pub use self::{
+    caller::{ask, get, request},
+    searcher::{Manner, Searcher},
+};
+
+/// How long a test waits for what must come.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+pub fn headers() -> Headers {
+    Headers {
+        request_id: HeaderName::from_static("x-id"),
+        deadline: HeaderName::from_static("x-deadline"),
+        expected_server: HeaderName::from_static("x-server"),
+        signature: HeaderName::from_static("x-signature"),
+        part_signatures: HeaderName::from_static("x-signatures"),
+        missing_shards: HeaderName::from_static("x-missing"),
+        not_run: HeaderName::from_static("x-refused"),
+    }
+}
+
+/// A running node.
+pub struct Node {
+    pub front: SocketAddr,
+    pub ready: SocketAddr,
+    /// What the store will tell next.
+    pub published: Rc<RefCell<Snapshot>>,
+}
+
+/// Runs a test on a thread of its own.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.expect("the runtime starts");
+    runtime.block_on(LocalSet::new().run_until(async {
+        tokio::time::timeout(PATIENCE, test).await.expect("the test ends in time")
+    }))
+}
+
+/// Waits until a condition holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+impl Node {
+    /// Starts a node in front of servers: those of service `one` behind `/one/` (at most once),
+    /// `/many/` (idempotent) and the shards `s0` to `s9` behind `/all/`.
+    pub async fn start(servers: &[&Searcher]) -> Node {
+        let facts = vec![Fact::Plan(draft())];
+        let entries = servers.iter().map(|it| Fact::Server(entry(it)));
+        let snapshot = Snapshot { revision: 5, facts: facts.into_iter().chain(entries).collect() };
+        let published = Rc::new(RefCell::new(snapshot));
+        let [front, ready, peer, rpc] = [free(), free(), free(), free()];
+        let settings = Settings {
+            name: Name::new("node"),
+            data_centre: Name::new("a"),
+            front,
+            ready,
+            metrics: None,
+            peer,
+            rpc,
+            seeds: BTreeSet::new(),
+            grace: Duration::from_secs(6),
+            balance: balance::Settings {
+                data_centre: Name::new("a"),
+                extra_ratio: 0.2,
+                extra_burst: 58.0,
+                cold_factor: 1.5,
+                cold_slack: 5.0,
+                assumed_nodes: 2,
+            },
+            headers: headers(),
+            ready_path: "/ready",
+            source: source(published.clone()),
+            reload: Box::new(String::new),
+        };
+        tokio::task::spawn_local(async move {
+            node::run(settings, 1).await.expect("the node starts");
+        });
+        let node = Node { front, ready, published };
+        while get(node.ready, "/ready").await.is_none_or(|it| it.status != 200) {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        node
+    }
+}
+
+fn source(published: Rc<RefCell<Snapshot>>) -> Source {
+    let watched = published.clone();
+    Source {
+        list: Box::new(move || {
+            let snapshot = published.borrow().clone();
+            Box::pin(async move { Ok(snapshot) })
+        }),
+        watch: Box::new(move |after, _| {
+            let published = watched.clone();
+            Box::pin(async move {
+                until(|| published.borrow().revision > after).await;
+                Ok(published.borrow().clone())
+            })
+        }),
+    }
+}
+
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("a bound socket has an address")
+}
+
+fn entry(server: &Searcher) -> Entry {
+    Entry {
+        id: server.id.clone(),
+        service: server.service.clone(),
+        address: server.address,
+        data_centre: Name::new("a"),
+        slots: 6,
+        is_draining: false,
+        cold: Duration::ZERO,
+        born: 1,
+    }
+}
+
+fn draft() -> Draft {
+    let shards: Vec<_> = (0..3).map(|it| Name::new(format!("s{it}"))).collect();
+    let services = shards.iter().cloned().chain([Name::new("one")]);
+    let service =
+        |name| Service { name, connections: 46, warm_up: Duration::from_secs(3), cold_rate: 0.0 };
+    let rule = |name: &str, repeat, target| Rule {
+        name: Name::new(name),
+        host: Name::new("search.example"),
+        prefix: Name::new(format!("/{name}/")),
+        repeat,
+        attempts: 2,
+        timeout: Duration::from_secs(20),
+        objective: Duration::from_secs(10),
+        priority: 1,
+        target,
+    };
+    let one = || Target::One(Name::new("one"));
+    let all = Target::All(Gather { shards: shards.clone(), top: 2, least: 0.6 });
+    Draft {
+        version: 1,
+        limits: Limits { body_bytes: 1_000, ..Limits::default() },
+        rules: vec![
+            rule("one", Repeat::Once, one()),
+            rule("many", Repeat::Idempotent, one()),
+            rule("all", Repeat::Idempotent, all),
+        ],
+        services: services.map(service).collect(),
+    }
+}
