--- a/crates/cli/src/exit_code.rs
+++ b/crates/cli/src/exit_code.rs
@@ -1,6 +1,6 @@
 use std::process;
 
-/// How a binary ends. The codes are documented in `docs/OPERATING.md`.
+/// How a binary ends. The codes are documented in `docs/OPERATIONS.md`.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum ExitCode {
     /// Everything was done.
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -118,6 +118,11 @@
         &self.rule
     }
 
+    /// Returns the services whose shards are not in.
+    pub fn missing(&self) -> impl Iterator<Item = &Name> {
+        self.shards.iter().filter(|it| !it.is_served()).map(|it| &it.service)
+    }
+
     /// Returns the attempts that were made.
     pub fn sends(&self) -> usize {
         self.attempts.len()
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -239,6 +239,7 @@
             return;
         }
         let detail = format!("{verdict:?}");
+        let missing = self.missing();
         event.emit(&[
             ("id", &self.id),
             ("rule", &rule.name),
@@ -247,9 +248,28 @@
             ("millis", &latency.as_millis()),
             ("sends", &self.run.sends()),
             ("detail", &detail),
+            ("missing", &missing),
         ]);
     }
 
+    /// Lists the services that are not in the answer, with what is believed of their servers.
+    fn missing(&self) -> String {
+        let balancer = &mut self.shared.beliefs.borrow_mut().balancer;
+        let now = self.shared.now();
+        let mut services = Vec::new();
+        for service in self.run.missing() {
+            let outlook = balancer.outlook(service, self.run.rule(), &self.plan, now);
+            let known = balancer.directory().of(service).count();
+            let belief = match outlook {
+                None => "none with room".to_owned(),
+                Some(it) if it.is_down => format!("out of reach for {:?}", it.answer),
+                Some(it) => format!("answer expected in {:?}", it.answer),
+            };
+            services.push(format!("{service}: {known} known, {belief}"));
+        }
+        services.join("; ")
+    }
+
     fn log_attempt(&self, attempt: &Attempt, end: End, reply: Option<&Reply>) {
         let status = reply.map_or(0, |it| it.status.as_u16());
         events::ATTEMPT.emit(&[
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -4,6 +4,7 @@
 
 mod caller_leaves;
 mod classified_answers;
+mod event_catalogue;
 mod leaving_servers;
 mod lying_servers;
 mod proper_requests;
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,4 +1,4 @@
-//! Metrics for Prometheus. `docs/OPERATING.md` lists them.
+//! Metrics for Prometheus. `docs/OPERATIONS.md` lists them.
 
 use std::time::Duration;
 
--- a/crates/tools/src/bench/mod.rs
+++ b/crates/tools/src/bench/mod.rs
@@ -1,4 +1,4 @@
-//! Slopes for `docs/CAPACITY.md`: what the decisions, the configuration and the exchange between
+//! Slopes for the page on capacity: what the decisions, the configuration and the exchange between
 //! nodes cost, measured on one machine.
 
 mod config;
--- a/crates/tools/src/bin/mimosabridge-bench.rs
+++ b/crates/tools/src/bin/mimosabridge-bench.rs
@@ -1,4 +1,4 @@
-//! Measures slopes for `docs/CAPACITY.md`.
+//! Measures slopes for the page on capacity.
 
 use std::process;
 
