Give each node of a test a loopback address of its own

Cause: never_a_success::case_3_other failed once in 60 s. Of 40 further runs of the test program 3 failed with AddrInUse: tests took free ports, released them and bound them again while others did the same. Ruled out: load; the node's own log named the port. Change: each node has its own loopback address and fixed ports below those that the system hands out.

--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -3,7 +3,14 @@
 mod caller;
 mod searcher;
 
-use std::{cell::RefCell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::BTreeSet,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    rc::Rc,
+    sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
+};
 
 use http::HeaderName;
 use mimosabridge::{
@@ -25,6 +32,9 @@
     searcher::{Manner, Searcher},
 };
 
+/// The ports of a node follow this one, below those that the system hands out by itself.
+const BASE_PORT: u16 = 17_300;
+
 /// How long a test waits for what must come.
 const PATIENCE: Duration = Duration::from_secs(60);
 
@@ -72,7 +82,8 @@
         let entries = servers.iter().map(|it| Fact::Server(entry(it)));
         let snapshot = Snapshot { revision: 5, facts: facts.into_iter().chain(entries).collect() };
         let published = Rc::new(RefCell::new(snapshot));
-        let [front, ready, peer, rpc] = [free(), free(), free(), free()];
+        let own = own_address();
+        let [front, ready, peer, rpc] = [1, 2, 3, 4].map(|it| SocketAddr::new(own, BASE_PORT + it));
         let settings = Settings {
             name: Name::new("node"),
             data_centre: Name::new("a"),
@@ -124,9 +135,13 @@
     }
 }
 
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    listener.local_addr().expect("a bound socket has an address")
+/// Returns a loopback address that no other node has, in this process or a test run beside it, so
+/// that nodes never want the same port.
+fn own_address() -> IpAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(1);
+    let [_, _, by_process, _] = (std::process::id() << 8).to_be_bytes();
+    let [high, low] = NEXT.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    Ipv4Addr::new(127, by_process.max(1), high, low).into()
 }
 
 fn entry(server: &Searcher) -> Entry {
