--- a/crates/cli/src/binary.rs
+++ b/crates/cli/src/binary.rs
@@ -3,7 +3,7 @@
 use snafu::ResultExt;
 use tokio::runtime::Builder;
 
-use crate::{ExitCode, Fault, Options, init_json_log, init_log};
+use crate::{ExitCode, Fault, Options, finish_json_log, init_json_log, init_log};
 
 /// One of the project's binaries.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,7 +27,14 @@
         work: impl FnOnce(C) -> W,
     ) -> process::ExitCode {
         init_log();
-        self.end(self.start(parse, threads, work))
+        let builder = |config: &C| {
+            let mut builder = Builder::new_multi_thread();
+            if let Some(threads) = threads(config) {
+                builder.worker_threads(threads);
+            }
+            builder
+        };
+        self.end(self.start(parse, builder, work))
     }
 
     /// Parses the options and does the work on this thread alone, with a JSON log on standard
@@ -38,22 +45,9 @@
         work: impl FnOnce(C) -> W,
     ) -> process::ExitCode {
         init_json_log();
-        self.end(self.start_local(parse, work))
-    }
-
-    fn start_local<C, W: Future<Output = Result<ExitCode, Fault>>>(
-        self,
-        parse: impl FnOnce(Options) -> Result<C, Fault>,
-        work: impl FnOnce(C) -> W,
-    ) -> Result<ExitCode, Fault> {
-        let mut options = Options::from_process();
-        if self.explains(&mut options) {
-            return Ok(ExitCode::Success);
-        }
-        let config = parse(options)?;
-        let runtime = Builder::new_current_thread().enable_all().build();
-        let runtime = runtime.whatever_context("cannot start the runtime")?;
-        runtime.block_on(work(config))
+        let result = self.start(parse, |_| Builder::new_current_thread(), work);
+        finish_json_log();
+        self.end(result)
     }
 
     fn end(self, result: Result<ExitCode, Fault>) -> process::ExitCode {
@@ -69,7 +63,7 @@
     fn start<C, W: Future<Output = Result<ExitCode, Fault>>>(
         self,
         parse: impl FnOnce(Options) -> Result<C, Fault>,
-        threads: impl FnOnce(&C) -> Option<usize>,
+        builder: impl FnOnce(&C) -> Builder,
         work: impl FnOnce(C) -> W,
     ) -> Result<ExitCode, Fault> {
         let mut options = Options::from_process();
@@ -77,11 +71,8 @@
             return Ok(ExitCode::Success);
         }
         let config = parse(options)?;
-        let mut builder = Builder::new_multi_thread();
-        if let Some(threads) = threads(&config) {
-            builder.worker_threads(threads);
-        }
-        let runtime = builder.enable_all().build().whatever_context("cannot start the runtime")?;
+        let runtime = builder(&config).enable_all().build();
+        let runtime = runtime.whatever_context("cannot start the runtime")?;
         runtime.block_on(work(config))
     }
 
--- a/crates/cli/src/json_log.rs
+++ b/crates/cli/src/json_log.rs
@@ -5,6 +5,7 @@
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread,
+    time::{Duration, Instant},
 };
 
 use env_logger::Target;
@@ -18,7 +19,15 @@
 /// The most bytes that are written at once.
 const MAX_WRITE: usize = 64 * 1024;
 
+/// How long the end of the process waits for lines to be written.
+const FINISH_TIME: Duration = Duration::from_millis(200);
+
+/// How often the end of the process looks whether lines are written.
+const FINISH_PERIOD: Duration = Duration::from_millis(2);
+
 static DROPPED: AtomicU64 = AtomicU64::new(0);
+static QUEUED: AtomicU64 = AtomicU64::new(0);
+static WRITTEN: AtomicU64 = AtomicU64::new(0);
 
 /// Starts a log of JSON lines on standard output. `RUST_LOG` sets the level, `info` by default.
 pub fn init_json_log() {
@@ -48,6 +57,15 @@
         .try_init();
 }
 
+/// Waits until the lines of the log are written, but not for long.
+pub fn finish_json_log() {
+    let begin = Instant::now();
+    let waits = || WRITTEN.load(Ordering::Relaxed) < QUEUED.load(Ordering::Relaxed);
+    while waits() && begin.elapsed() < FINISH_TIME {
+        thread::sleep(FINISH_PERIOD);
+    }
+}
+
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
@@ -69,9 +87,11 @@
 
 impl Write for Queue {
     fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
-        if self.lines.try_send(bytes.to_vec()).is_err() {
-            DROPPED.fetch_add(1, Ordering::Relaxed);
-        }
+        let count = match self.lines.try_send(bytes.to_vec()) {
+            Ok(()) => &QUEUED,
+            Err(_) => &DROPPED,
+        };
+        count.fetch_add(1, Ordering::Relaxed);
         Ok(bytes.len())
     }
 
@@ -83,11 +103,15 @@
 /// Writes lines, as many at once as wait.
 fn write(inbox: &Receiver<Vec<u8>>) {
     while let Ok(mut bytes) = inbox.recv() {
+        let mut lines = 1;
         while bytes.len() < MAX_WRITE {
             let Ok(more) = inbox.try_recv() else { break };
             bytes.extend(more);
+            lines += 1;
         }
         // A log without a reader is lost; the service goes on.
         let _ = io::stdout().write_all(&bytes);
+        let _ = io::stdout().flush();
+        WRITTEN.fetch_add(lines, Ordering::Relaxed);
     }
 }
--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -6,7 +6,10 @@
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
-use super::{Pace, Seen, Server};
+use super::{
+    Outlook, Pace, Purpose, Seen, Server, Settings,
+    cost::{bears, cost},
+};
 use crate::{
     directory::{Change, Directory, Entry},
     name::Name,
@@ -15,25 +18,6 @@
     time::Time,
 };
 
-/// How many times slower than the nearest server one elsewhere must not be: bytes between data
-/// centres are dear.
-const FAR_FACTOR: f64 = 1.3;
-
-/// The least gain for which a request leaves the data centre.
-const FAR_GAIN: Duration = Duration::from_millis(3);
-
-/// What each further request under way adds to the expected time, in parts of it.
-const CROWDING: f64 = 0.35;
-
-/// What failing each request would add to the expected time, in multiples of it.
-const FAILURE_FACTOR: f64 = 6.0;
-
-/// How many times longer a cold server is expected to take.
-const COLD_FACTOR: f64 = 1.6;
-
-/// What a stalled server adds to its expected time.
-const STALLED: Duration = Duration::from_secs(10);
-
 /// The part of the connections that a server accepts that nodes use. The rest is for nodes that
 /// are not known yet.
 const CONNECTIONS_USED: f64 = 0.85;
@@ -41,41 +25,6 @@
 /// Random part of an expected time, so that nodes do not all choose the same server.
 const SPREAD: f64 = 0.1;
 
-/// What the balancer of a node is made for.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Settings {
-    /// The data centre of this node.
-    pub data_centre: Name,
-    /// Extra requests for each request, over all nodes.
-    pub extra_ratio: f64,
-    /// Extra requests beside those, over all nodes.
-    pub extra_burst: f64,
-    /// How many times the rate that a cold server bears may be sent to it.
-    pub cold_factor: f64,
-    /// Requests per second that a cold server bears besides.
-    pub cold_slack: f64,
-    /// The nodes that are assumed until the others are known.
-    pub assumed_nodes: u32,
-}
-
-/// Why a server is chosen.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Purpose {
-    /// For a first attempt.
-    First,
-    /// To replace an attempt that was lost, or beside one that is late.
-    Extra,
-}
-
-/// How soon a service may answer. Services that can be tried at once compare less.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
-pub struct Outlook {
-    /// All servers are out of reach.
-    pub is_down: bool,
-    /// The time until the answer of the best server, if it is reached.
-    pub answer: Duration,
-}
-
 /// Chooses servers, and keeps what this node has seen of them.
 #[derive(Clone, Debug)]
 pub struct Balancer {
@@ -332,33 +281,3 @@
         self.paces.entry(rule.name.clone()).or_insert_with(new)
     }
 }
-
-/// Returns whether a cold server bears one more request of this node, whose share of the bound is
-/// `share` requests per second. First attempts leave a part of it to extra ones.
-fn bears(server: &mut Server, share: Option<f64>, purpose: Purpose, now: Time) -> bool {
-    let Some(share) = share else { return true };
-    let share = match purpose {
-        Purpose::First => share,
-        // A cold server is a poor choice for a request that is late already.
-        Purpose::Extra => share / 2.0,
-    };
-    (server.rate(now) + 1) as f64 <= share
-}
-
-/// Returns the time that a request is expected to take at a server, in seconds, with what speaks
-/// against the server added.
-fn cost(server: &Server, usual: Duration, is_near: bool, is_cold: bool, now: Time) -> f64 {
-    let mut cost = usual.as_secs_f64() * server.slowness(now).max(0.1);
-    cost *= 1.0 + CROWDING * server.running() as f64;
-    cost *= 1.0 + FAILURE_FACTOR * server.failures(now);
-    if is_cold {
-        cost *= COLD_FACTOR;
-    }
-    if server.is_stalled(now) {
-        cost += STALLED.as_secs_f64();
-    }
-    if !is_near {
-        cost = cost * FAR_FACTOR + FAR_GAIN.as_secs_f64();
-    }
-    cost
-}
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -5,13 +5,20 @@
 //! servers that bear few requests from all nodes together.
 
 mod balancer;
+mod cost;
 mod meter;
+mod outlook;
 mod pace;
+mod purpose;
 mod server;
+mod settings;
 
 pub use self::{
-    balancer::{Balancer, Outlook, Purpose, Settings},
+    balancer::Balancer,
     meter::Meter,
+    outlook::Outlook,
     pace::Pace,
+    purpose::Purpose,
     server::{Seen, Server},
+    settings::Settings,
 };
--- a/crates/core/src/scatter/mod.rs
+++ b/crates/core/src/scatter/mod.rs
@@ -10,6 +10,8 @@
 mod merge;
 mod run;
 mod settle;
+mod shard;
+mod timing;
 mod verdict;
 
 pub use self::{
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -1,6 +1,10 @@
 use std::{sync::Arc, time::Duration};
 
-use super::{Action, Attempt, End, Evidence, Verdict, settle};
+use super::{
+    Action, Attempt, End, Evidence, Verdict, settle,
+    shard::{Shard, State},
+    timing::Timing,
+};
 use crate::{
     balance::{Balancer, Outlook, Purpose, Seen},
     name::Name,
@@ -8,23 +12,9 @@
     time::Time,
 };
 
-/// The part of the objective that the way to the caller and late timers may take.
-const MARGIN: f64 = 0.08;
-
-/// The least time that the way to the caller and late timers may take: a link to a caller has a
-/// few milliseconds each way, and a new connection one round trip more.
-const MARGIN_LEAST: Duration = Duration::from_millis(12);
-
-/// How long before the caller's deadline it gets its final answer.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(15);
-
 /// How often a shard without a server that can be tried is looked at again.
 const PLACE_AGAIN: Duration = Duration::from_millis(25);
 
-/// The part of the objective within which a request must reach a server, as a divisor. One that
-/// finds no room by then does better elsewhere.
-const PLACE_DIVISOR: u32 = 5;
-
 /// Sends beyond the servers of a rule, to servers that did not run the request.
 const EXTRA_SENDS: u32 = 2;
 
@@ -48,40 +38,10 @@
     shards: Vec<Shard>,
     attempts: Vec<Option<Attempt>>,
     ends: Vec<Option<End>>,
-    /// When an answer with the least share of the shards is better than waiting.
-    soft: Time,
-    /// When the final answer is due.
-    hard: Time,
-    /// When a request that no server got is refused.
-    place_by: Time,
+    timing: Timing,
     is_finished: bool,
 }
 
-#[derive(Clone, Debug)]
-struct Shard {
-    service: Name,
-    /// The servers to which the request was sent.
-    tried: Vec<Name>,
-    /// Servers that may not be tried again.
-    spent: Vec<Name>,
-    sends: u32,
-    under_way: usize,
-    hedge_at: Option<Time>,
-    state: State,
-}
-
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum State {
-    /// No attempt is under way; one is to be made.
-    Waiting,
-    /// An attempt is under way.
-    Sent,
-    /// The attempt with this number was served.
-    Served(usize),
-    /// Nothing more can be done for it.
-    Lost,
-}
-
 impl Run {
     /// Creates the run of a request that came now and whose caller waits for `patience`.
     pub fn new(rule: Arc<Rule>, patience: Duration, context: &mut Context<'_>) -> Run {
@@ -95,22 +55,9 @@
         for service in &services {
             context.balancer.on_request(service, context.now);
         }
-        let margin = rule.objective.mul_f64(MARGIN).max(MARGIN_LEAST);
-        let patience = patience.saturating_sub(DEADLINE_MARGIN).min(rule.timeout);
-        let hard = context.now + patience;
-        let soft = (context.now + rule.objective.saturating_sub(margin)).min(hard);
-        let place_by = context.now + rule.objective / PLACE_DIVISOR;
+        let timing = Timing::new(&rule, patience, context.now);
         let shards = services.into_iter().map(Shard::new).collect();
-        Run {
-            rule,
-            shards,
-            attempts: Vec::new(),
-            ends: Vec::new(),
-            soft,
-            hard,
-            place_by,
-            is_finished: false,
-        }
+        Run { rule, shards, attempts: Vec::new(), ends: Vec::new(), timing, is_finished: false }
     }
 
     /// Returns the rule of the request.
@@ -139,7 +86,7 @@
     /// them: their servers have work that can't be left out.
     pub fn start(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         let Context { plan, now, .. } = *context;
-        let until = now.until(self.soft);
+        let until = now.until(self.timing.soft);
         let outlook = |it: &Shard| context.balancer.outlook(&it.service, &self.rule, plan, now);
         let outlooks: Vec<_> = self.shards.iter().map(outlook).collect();
         let can_try = |it: &&Option<Outlook>| it.is_some_and(|it| !it.is_down);
@@ -201,7 +148,7 @@
 
     /// Returns when [`Run::on_time`] is due.
     pub fn next_time(&self, now: Time) -> Time {
-        let mut next = if now < self.soft { self.soft } else { self.hard };
+        let mut next = if now < self.timing.soft { self.timing.soft } else { self.timing.hard };
         for shard in &self.shards {
             match shard.state {
                 State::Waiting => next = next.min(now + PLACE_AGAIN),
@@ -224,7 +171,7 @@
     /// Sends what is due: first attempts, retries and hedges.
     fn advance(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
-        if context.now >= self.hard {
+        if context.now >= self.timing.hard {
             return actions;
         }
         for index in 0..self.shards.len() {
@@ -285,7 +232,7 @@
         balancer.on_sent(&server.id, &self.rule, now);
         let hedge = balancer.hedge(&self.rule);
         let number = self.attempts.len();
-        let budget = now.until(self.hard);
+        let budget = now.until(self.timing.hard);
         let attempt =
             Attempt { number, shard: index, server: server.clone(), sent: now, budget, is_hedge };
         self.attempts.push(Some(attempt.clone()));
@@ -307,7 +254,7 @@
         let served = self.shards.iter().filter(|it| it.is_served()).count();
         let is_open = self.shards.iter().any(|it| matches!(it.state, State::Sent | State::Waiting));
         let is_whole = served == self.shards.len() && served > 0;
-        let is_due = now >= self.soft || !is_open;
+        let is_due = now >= self.timing.soft || !is_open;
         if is_whole || served >= self.needed() && is_due {
             let verdict = self.success(self.shards.len() - served);
             return Some(self.finish(verdict));
@@ -316,11 +263,12 @@
         let is_hopeless = self.shards.len() - lost < self.needed();
         let is_stuck = !self.shards.iter().any(|it| it.under_way > 0);
         let is_idle = served == 0 && is_stuck;
-        let waits_in_vain = is_idle && now >= self.place_by || now >= self.soft && is_stuck;
-        if now < self.hard && !is_hopeless && is_open && !waits_in_vain {
+        let waits_in_vain =
+            is_idle && now >= self.timing.place_by || now >= self.timing.soft && is_stuck;
+        if now < self.timing.hard && !is_hopeless && is_open && !waits_in_vain {
             return None;
         }
-        let verdict = self.unserved(context, now >= self.hard);
+        let verdict = self.unserved(context, now >= self.timing.hard);
         Some(self.finish(verdict))
     }
 
@@ -385,28 +333,3 @@
         context.balancer.on_end(id, &self.rule, attempt.sent, seen, warm_up, context.now);
     }
 }
-
-impl Shard {
-    fn new(service: Name) -> Shard {
-        Shard {
-            service,
-            tried: Vec::new(),
-            spent: Vec::new(),
-            sends: 0,
-            under_way: 0,
-            hedge_at: None,
-            state: State::Waiting,
-        }
-    }
-
-    fn is_served(&self) -> bool {
-        self.served().is_some()
-    }
-
-    fn served(&self) -> Option<usize> {
-        match self.state {
-            State::Served(number) => Some(number),
-            State::Waiting | State::Sent | State::Lost => None,
-        }
-    }
-}
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use mimosabridge::{name::Name, scatter::End};
+use mimosabridge_node::metrics::make::{self, counter, counters, gauge};
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
-    core::Collector,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, core::Collector,
 };
 
 /// Upper bounds of the latency buckets, in seconds.
@@ -78,10 +78,7 @@
 
     /// Returns the metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // The encoder refuses only metrics without a name, and there are none.
-        let _ = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text);
-        text
+        make::text(&self.registry)
     }
 
     fn register(&self) {
@@ -124,19 +121,3 @@
         End::Silent => "silent",
     }
 }
-
-fn opts(name: &str, help: &str) -> Opts {
-    Opts::new(format!("mimosabridge_{name}"), help)
-}
-
-fn counter(name: &str, help: &str) -> IntCounter {
-    IntCounter::with_opts(opts(name, help)).expect("the name is valid")
-}
-
-fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    IntCounterVec::new(opts(name, help), labels).expect("the name is valid")
-}
-
-fn gauge(name: &str, help: &str) -> IntGauge {
-    IntGauge::with_opts(opts(name, help)).expect("the name is valid")
-}
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -1,5 +1,7 @@
 //! Metrics for Prometheus. `docs/OPERATIONS.md` lists them.
 
+pub mod make;
+
 use std::time::Duration;
 
 use mimosabridge::{
@@ -8,10 +10,12 @@
     query::Answer,
 };
 use prometheus::{
-    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder, core::Collector,
+    HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry,
+    core::Collector,
 };
 
+use self::make::{counter, counters, gauge, opts};
+
 /// Upper bounds of the latency buckets, in seconds.
 const BUCKETS: [f64; 14] =
     [0.002, 0.005, 0.01, 0.015, 0.02, 0.03, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0, 5.0];
@@ -105,10 +109,7 @@
 
     /// Returns the metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
-        let mut text = String::new();
-        // The encoder refuses only metrics without a name, and there are none.
-        let _ = TextEncoder::new().encode_utf8(&self.registry.gather(), &mut text);
-        text
+        make::text(&self.registry)
     }
 
     fn register(&self) {
@@ -140,22 +141,6 @@
     }
 }
 
-fn opts(name: &str, help: &str) -> Opts {
-    Opts::new(format!("mimosabridge_{name}"), help)
-}
-
-fn counter(name: &str, help: &str) -> IntCounter {
-    IntCounter::with_opts(opts(name, help)).expect("the name is valid")
-}
-
-fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    IntCounterVec::new(opts(name, help), labels).expect("the name is valid")
-}
-
-fn gauge(name: &str, help: &str) -> IntGauge {
-    IntGauge::with_opts(opts(name, help)).expect("the name is valid")
-}
-
 /// Returns the name of an outcome in metrics and traces.
 pub fn label(outcome: &Outcome) -> &'static str {
     match outcome {
