Ask peers again while behind, and watch anew after a sleep

Ruled out: the peers' own reads, which had the version in time. Change: a library part, Lag, decides when to ask: 0.9 s after a peer is ahead, again 0.2 s after it was in vain, any live peer. A process that slept begins its watch anew. Test asks_again_while_behind.

--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -3,10 +3,12 @@
 
 mod book;
 mod fact;
+mod lag;
 mod reader;
 
 pub use self::{
     book::{Book, News},
     fact::{Fact, Snapshot},
+    lag::Lag,
     reader::{Reader, Step},
 };
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mimosabridge::feed::{Reader, Step};
+use mimosabridge::feed::{Lag, Reader, Step};
 
 use crate::fixture::at;
 
@@ -65,3 +65,21 @@
     let Step::Pause(until) = reader.step(0, at(0)) else { panic!("no pause after a failure") };
     assert!(until < at(1_500), "a start with the store down must end soon after its return");
 }
+
+/// A VM whose watch was stuck after a freeze asked one peer in vain, then waited for news of another
+/// and got a version 3.4 s after its acknowledgement.
+#[test]
+fn asks_again_while_behind() {
+    let mut lag = Lag::new();
+    lag.on_peer(7, 7, at(0));
+    assert_eq!(lag.due(7), None);
+    lag.on_peer(9, 7, at(100));
+    let due = lag.due(7).expect("a peer is ahead");
+    assert!(due > at(800) && due <= at(1_100), "its own watch gets the time to tell");
+    lag.on_peer(10, 7, at(900));
+    assert_eq!(lag.due(7), Some(due), "more news is no reason to wait longer");
+    lag.on_vain(due);
+    let again = lag.due(7).expect("a peer is still ahead");
+    assert!(again <= due + Duration::from_millis(300), "asked again at once");
+    assert_eq!(lag.due(10), None);
+}
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -7,10 +7,6 @@
     peers::{Exchange, fetch},
 };
 
-/// How long a peer may be ahead of this node before this node suspects its own watch: answers are
-/// gathered, and nodes are told at different times.
-const BEHIND_TIME: Duration = Duration::from_millis(1_300);
-
 /// How often a node that has lost the store asks a peer.
 const ASK_PERIOD: Duration = Duration::from_millis(600);
 
@@ -25,30 +21,38 @@
     }
     loop {
         tokio::select! {
-            (address, _) = exchange.ahead() => {
-                if !from(shared, exchange, address).await {
-                    exchange.forget_ahead();
+            _ = exchange.behind() => {
+                if !ask(shared, exchange).await {
+                    tokio::time::sleep(ASK_PERIOD).await;
                 }
             }
             () = tokio::time::sleep(ASK_PERIOD) => {
-                if let Some(address) = exchange.some_peer() {
-                    from(shared, exchange, address).await;
-                }
+                ask(shared, exchange).await;
             }
         }
     }
 }
 
-/// Returns once a peer has been ahead for long, and was asked.
+/// Returns once peers have been ahead for a while, as if the watch of this node were stuck, and one
+/// of them was asked.
 pub async fn when_behind(shared: &Shared, exchange: &Exchange) {
     loop {
-        let (address, since) = exchange.ahead().await;
-        let due = shared.clock.instant(since + BEHIND_TIME);
-        tokio::time::sleep_until(due).await;
-        if exchange.is_behind() && from(shared, exchange, address).await {
-            return;
+        let due = exchange.behind().await;
+        tokio::time::sleep_until(shared.clock.instant(due)).await;
+        if exchange.is_behind() {
+            if ask(shared, exchange).await {
+                return;
+            }
+            exchange.on_vain();
         }
-        exchange.forget_ahead();
+    }
+}
+
+/// Asks some peer for what is published. Returns whether it knew more.
+async fn ask(shared: &Shared, exchange: &Exchange) -> bool {
+    match exchange.some_peer() {
+        Some(address) => from(shared, exchange, address).await,
+        None => false,
     }
 }
 
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -38,6 +38,8 @@
                         }
                         on_watch(&shared, &exchange, &mut reader, after, result);
                     }
+                    // A connection may not have outlived the sleep of this process.
+                    () = shared.woken.notified() => {}
                     () = catch_up::when_behind(&shared, &exchange), if !reader.is_lost() => {}
                     () = catch_up::while_lost(&shared, &exchange, reader.is_lost()) => {}
                 }
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -119,6 +119,7 @@
 fn on_tick(shared: &Shared, tick: timer::Tick) {
     if tick.late >= PAUSE {
         events::PAUSED.emit(&[("millis", &tick.late.as_millis())]);
+        shared.woken.notify_waiters();
     }
     shared.pool.expire(tick.now);
     let news = {
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -15,6 +15,7 @@
     time::Time,
 };
 use mimosabridge_node::clock::Clock;
+use tokio::sync::Notify;
 
 use crate::{backend::Pool, events, metrics::Metrics, wire::Headers};
 
@@ -32,6 +33,8 @@
     pub metrics: Metrics,
     /// Whether callers should be sent to this node.
     pub is_ready: Arc<AtomicBool>,
+    /// Told when the process has slept.
+    pub woken: Notify,
 }
 
 /// What a node believes.
@@ -67,6 +70,7 @@
             }),
             metrics: Metrics::new(),
             is_ready: Arc::new(AtomicBool::new(false)),
+            woken: Notify::new(),
         }
     }
 
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -2,6 +2,7 @@
 
 use mimosabridge::{
     config::{Digest, Stamp},
+    feed::Lag,
     fingerprint::Fingerprint,
     member::{Action, News, Packet, Peer, Record, State},
     name::Name,
@@ -45,19 +46,11 @@
     rng: RefCell<StdRng>,
     revision: RefCell<u64>,
     contact: RefCell<Time>,
-    ahead: RefCell<Option<Ahead>>,
-    is_ahead: Notify,
+    lag: RefCell<Lag>,
+    is_behind: Notify,
     started: Time,
 }
 
-/// A peer that knows more of what is published than this node.
-#[derive(Clone, Copy, Debug)]
-struct Ahead {
-    address: SocketAddr,
-    revision: u64,
-    since: Time,
-}
-
 /// Starts the exchange.
 pub fn start(
     shared: Rc<Shared>,
@@ -78,8 +71,8 @@
         rng: RefCell::new(StdRng::seed_from_u64(boot)),
         revision: RefCell::new(0),
         contact: RefCell::new(now),
-        ahead: RefCell::new(None),
-        is_ahead: Notify::new(),
+        lag: RefCell::new(Lag::new()),
+        is_behind: Notify::new(),
         started: now,
     });
     let (questions, inbox) = mpsc::channel(QUESTIONS);
@@ -125,29 +118,26 @@
         others.map(|it| it.rpc).choose(&mut *self.inner.rng.borrow_mut())
     }
 
-    /// Waits for a peer that knows more than this node. Returns where it takes calls, and since
-    /// when it is known to be ahead.
-    pub async fn ahead(&self) -> (SocketAddr, Time) {
+    /// Waits until a peer knows more than this node. Returns when to ask one.
+    pub async fn behind(&self) -> Time {
         loop {
-            let told = self.inner.is_ahead.notified();
-            if let Some(ahead) = *self.inner.ahead.borrow()
-                && ahead.revision > *self.inner.revision.borrow()
-            {
-                return (ahead.address, ahead.since);
+            let told = self.inner.is_behind.notified();
+            let known = *self.inner.revision.borrow();
+            if let Some(due) = self.inner.lag.borrow().due(known) {
+                return due;
             }
             told.await;
         }
     }
 
-    /// Returns whether the peer that was ahead still is.
+    /// Returns whether a peer still knows more than this node.
     pub fn is_behind(&self) -> bool {
-        let ahead = *self.inner.ahead.borrow();
-        ahead.is_some_and(|it| it.revision > *self.inner.revision.borrow())
+        self.inner.lag.borrow().due(*self.inner.revision.borrow()).is_some()
     }
 
-    /// Forgets the peer that was ahead.
-    pub fn forget_ahead(&self) {
-        *self.inner.ahead.borrow_mut() = None;
+    /// Takes note that a peer was asked and did not tell more.
+    pub fn on_vain(&self) {
+        self.inner.lag.borrow_mut().on_vain(self.inner.shared.now());
     }
 
     /// Tells the others that this node stops.
@@ -239,7 +229,7 @@
                     let _ = self.socket.try_send_to(&bytes, address);
                 }
                 Action::Changed => {}
-                Action::Tell(news, from) => self.on_news(news, from),
+                Action::Tell(news, _) => self.on_news(news),
                 Action::Sync(address) => {
                     let packets = self.peer.borrow().introduce(address);
                     self.act(packets);
@@ -248,9 +238,9 @@
         }
     }
 
-    fn on_news(&self, news: News, from: SocketAddr) {
+    fn on_news(&self, news: News) {
         match news {
-            News::Config { stamp, .. } => self.on_revision(stamp.version, from),
+            News::Config { stamp, .. } => self.on_revision(stamp.version),
             News::Crash { fingerprint, server } => {
                 let now = self.shared.now();
                 let quarantine = &mut self.shared.beliefs.borrow_mut().quarantine;
@@ -266,15 +256,11 @@
         }
     }
 
-    fn on_revision(&self, revision: u64, address: SocketAddr) {
-        if revision <= *self.revision.borrow() {
-            return;
-        }
-        let mut ahead = self.ahead.borrow_mut();
-        let is_first = ahead.is_none_or(|it| it.revision <= *self.revision.borrow());
-        if is_first {
-            *ahead = Some(Ahead { address, revision, since: self.shared.now() });
-            self.is_ahead.notify_waiters();
+    fn on_revision(&self, revision: u64) {
+        let known = *self.revision.borrow();
+        self.lag.borrow_mut().on_peer(revision, known, self.shared.now());
+        if revision > known {
+            self.is_behind.notify_waiters();
         }
     }
 
