Tell why an attempt got no answer; keep the assumed number of nodes out of the adapter

Cause: read as a newcomer: the error of a connection was dropped without a line, packets that can't be read went by in silence, and a constant of the adapter was a decision. Change: event 5207 carries the error; event 5006 tells of packets; balance::ASSUMED_NODES.

--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -20,5 +20,5 @@
     pace::Pace,
     purpose::Purpose,
     server::{Seen, Server},
-    settings::Settings,
+    settings::{ASSUMED_NODES, Settings},
 };
--- a/crates/core/src/balance/settings.rs
+++ b/crates/core/src/balance/settings.rs
@@ -1,5 +1,9 @@
 use crate::name::Name;
 
+/// The nodes that are assumed until the others are known, unless told otherwise: more than a site of
+/// today has, so that nodes that start together do not spend too much.
+pub const ASSUMED_NODES: u32 = 16;
+
 /// What the balancer of a node is made for.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -33,6 +33,28 @@
     pub repeat: Repeat,
 }
 
+/// How an attempt ended, and with what.
+#[derive(Debug)]
+pub struct Ending {
+    /// What it says of the request.
+    pub end: End,
+    /// The whole answer, if one came.
+    pub reply: Option<Reply>,
+    /// Why none came.
+    pub error: Option<LinkError>,
+}
+
+impl Ending {
+    /// Creates the end of an attempt without an answer.
+    pub fn new(end: End) -> Ending {
+        Ending { end, reply: None, error: None }
+    }
+
+    fn with_error(end: End, error: LinkError) -> Ending {
+        Ending { error: Some(error), ..Ending::new(end) }
+    }
+}
+
 /// Makes one attempt. Dropping the future closes the connection, which stops the server's work.
 pub async fn exchange(
     pool: &Pool,
@@ -40,7 +62,7 @@
     names: &Headers,
     attempt: &Attempt,
     outgoing: &Outgoing,
-) -> (End, Option<Reply>) {
+) -> Ending {
     let server = &attempt.server.id;
     let freshness = match outgoing.repeat {
         Repeat::Idempotent => Duration::MAX,
@@ -51,16 +73,16 @@
         Some(link) => link,
         None => match Link::open(attempt.server.address, clock.now()).await {
             Ok(link) => link,
-            Err(_) => {
+            Err(error) => {
                 // Kept connections to a server that takes no new ones lead nowhere.
                 pool.drop_all(server);
-                return (End::Unsent, None);
+                return Ending::with_error(End::Unsent, error);
             }
         },
     };
     let budget = attempt.budget.saturating_sub(clock.now().since(attempt.sent));
     if budget.is_zero() {
-        return (End::Unsent, None);
+        return Ending::new(End::Unsent);
     }
     let request = build(names, attempt, outgoing, budget);
     match link.exchange(request).await {
@@ -69,12 +91,19 @@
             if end != End::Invalid {
                 pool.keep(server, link, clock.now()).await;
             }
-            (end, Some(reply(response, names)))
+            Ending { end, reply: Some(reply(response, names)), error: None }
         }
-        Err(LinkError::Connect { .. } | LinkError::ConnectTimeout) => (End::Unsent, None),
-        Err(LinkError::Exchange { source }) if source.is_canceled() => (End::Unsent, None),
-        Err(LinkError::Exchange { source }) if source.is_parse() => (End::Invalid, None),
-        Err(LinkError::Exchange { .. }) => (End::Broken, None),
+        Err(error) => Ending::with_error(end_of(&error), error),
+    }
+}
+
+/// Returns what a failed exchange says of the request.
+fn end_of(error: &LinkError) -> End {
+    match error {
+        LinkError::Connect { .. } | LinkError::ConnectTimeout => End::Unsent,
+        LinkError::Exchange { source } if source.is_canceled() => End::Unsent,
+        LinkError::Exchange { source } if source.is_parse() => End::Invalid,
+        LinkError::Exchange { .. } => End::Broken,
     }
 }
 
--- a/crates/direct/src/backend/mod.rs
+++ b/crates/direct/src/backend/mod.rs
@@ -8,7 +8,7 @@
 
 pub use self::{
     classify::classify,
-    exchange::{Outgoing, exchange},
+    exchange::{Ending, Outgoing, exchange},
     link::{Link, LinkError},
     pool::Pool,
     reply::Reply,
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -13,7 +13,7 @@
     respond::{self, Answer},
 };
 use crate::{
-    backend::{Outgoing, Reply, exchange},
+    backend::{Ending, LinkError, Outgoing, Reply, exchange},
     events,
     metrics::label,
     node::Shared,
@@ -27,7 +27,7 @@
 /// One in this many plain successes is logged.
 const SAMPLE: u64 = 64;
 
-type Ended = (Attempt, End, Option<Reply>);
+type Ended = (Attempt, Ending);
 
 /// A request under way with its I/O. Dropping it ends the attempts.
 struct Flight {
@@ -137,19 +137,17 @@
         self.attempts.push(Box::pin(async move {
             let Shared { pool, clock, headers, .. } = &*shared;
             let work = exchange(pool, *clock, headers, &attempt, &outgoing);
-            let (end, reply) = match tokio::time::timeout(attempt.budget, work).await {
-                Ok(ended) => ended,
-                Err(_) => (End::Silent, None),
-            };
-            (attempt, end, reply)
+            let ending = tokio::time::timeout(attempt.budget, work).await;
+            (attempt, ending.unwrap_or_else(|_| Ending::new(End::Silent)))
         }));
     }
 
-    fn on_ended(&mut self, (attempt, end, reply): Ended) -> Vec<Action> {
+    fn on_ended(&mut self, (attempt, ending): Ended) -> Vec<Action> {
+        let Ending { end, reply, error } = ending;
         let end = if self.is_copy(end, reply.as_ref()) { End::Invalid } else { end };
         self.shared.metrics.on_attempt(&attempt.server.service, end);
         if end != End::Served {
-            self.log_attempt(&attempt, end, reply.as_ref());
+            self.log_attempt(&attempt, end, reply.as_ref(), error.as_ref());
             self.blame(&attempt, end);
         } else if !self.shared.beliefs.borrow().quarantine.is_empty() {
             self.shared.beliefs.borrow_mut().quarantine.clear(self.fingerprint);
@@ -270,7 +268,14 @@
         services.join("; ")
     }
 
-    fn log_attempt(&self, attempt: &Attempt, end: End, reply: Option<&Reply>) {
+    fn log_attempt(
+        &self,
+        attempt: &Attempt,
+        end: End,
+        reply: Option<&Reply>,
+        error: Option<&LinkError>,
+    ) {
+        let error = error.map_or_else(String::new, ToString::to_string);
         let status = reply.map_or(0, |it| it.status.as_u16());
         events::ATTEMPT.emit(&[
             ("id", &self.id),
@@ -279,6 +284,7 @@
             ("service", &attempt.server.service),
             ("end", &label(end)),
             ("status", &status),
+            ("error", &error),
             ("hedge", &attempt.is_hedge),
             ("millis", &self.shared.now().since(attempt.sent).as_millis()),
         ]);
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -181,7 +181,13 @@
 
 impl Inner {
     fn on_datagram(&self, bytes: &[u8]) {
-        let Some(packet) = Packet::decode(bytes) else { return };
+        let Some(packet) = Packet::decode(bytes) else {
+            events::TROUBLE.emit(&[
+                ("operation", &"decode a packet"),
+                ("error", &format_args!("{} bytes are no packet of a node", bytes.len())),
+            ]);
+            return;
+        };
         let now = self.shared.now();
         let rng = &mut *self.rng.borrow_mut();
         let actions = self.peer.borrow_mut().on_packet(packet, now, rng);
