Give the steps of a run and the contact with the store one place each

Cause: read once more: three callers of Run sent and concluded with the same three lines, two branches of follow noted the contact with the store, and Plan::uses, Plan::rules and End::has_arrived were called by nobody. Change: Run::step; on_answer notes the contact; the dead functions go. Behaviour and tests stay.

--- a/crates/core/src/plan/plan.rs
+++ b/crates/core/src/plan/plan.rs
@@ -1,6 +1,6 @@
 use std::{collections::HashMap, sync::Arc};
 
-use super::{Draft, Limits, Rule, Service, Target};
+use super::{Draft, Limits, Rule, Service};
 use crate::name::Name;
 
 /// A version of the configuration.
@@ -50,18 +50,4 @@
     pub fn service(&self, name: &Name) -> Option<&Service> {
         self.services.get(name)
     }
-
-    /// Returns all rules, in no order.
-    pub fn rules(&self) -> impl Iterator<Item = &Arc<Rule>> {
-        self.hosts.values().flatten()
-    }
-
-    /// Returns whether some rule may send to a service.
-    pub fn uses(&self, service: &Name) -> bool {
-        self.rules().any(|rule| match &rule.target {
-            Target::One(name) => name == service,
-            Target::Split(shares) => shares.iter().any(|it| it.service == *service),
-            Target::All(gather) => gather.shards.contains(service),
-        })
-    }
 }
--- a/crates/core/src/scatter/end.rs
+++ b/crates/core/src/scatter/end.rs
@@ -24,9 +24,4 @@
     pub fn is_not_run(self) -> bool {
         matches!(self, End::Shed | End::Misdirected | End::Unsent)
     }
-
-    /// Returns whether a server may have received the request in this attempt.
-    pub fn has_arrived(self) -> bool {
-        self != End::Unsent
-    }
 }
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -102,9 +102,7 @@
                 }
             }
         }
-        let mut actions = self.advance(context);
-        actions.extend(self.conclude(context));
-        actions
+        self.step(context)
     }
 
     /// Takes the end of an attempt.
@@ -131,9 +129,7 @@
             let may_repeat = end.is_not_run() || self.rule.repeat == Repeat::Idempotent;
             shard.state = if may_repeat { State::Waiting } else { State::Lost };
         }
-        let mut actions = self.advance(context);
-        actions.extend(self.conclude(context));
-        actions
+        self.step(context)
     }
 
     /// Does what is due.
@@ -141,9 +137,7 @@
         if self.is_finished {
             return Vec::new();
         }
-        let mut actions = self.advance(context);
-        actions.extend(self.conclude(context));
-        actions
+        self.step(context)
     }
 
     /// Returns when [`Run::on_time`] is due.
@@ -168,6 +162,13 @@
         }
     }
 
+    /// Sends what is due, and finishes the run if the answer is.
+    fn step(&mut self, context: &mut Context<'_>) -> Vec<Action> {
+        let mut actions = self.advance(context);
+        actions.extend(self.conclude(context));
+        actions
+    }
+
     /// Sends what is due: first attempts, retries and hedges.
     fn advance(&mut self, context: &mut Context<'_>) -> Vec<Action> {
         let mut actions = Vec::new();
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -21,10 +21,7 @@
                 shared.metrics.store_calls.inc();
                 tokio::select! {
                     result = (source.list)() => {
-                        if result.is_ok() {
-                            exchange.on_contact();
-                        }
-                        on_list(&shared, &mut reader, result);
+                        on_list(&shared, &exchange, &mut reader, result);
                     }
                     () = catch_up::while_lost(&shared, &exchange, reader.is_lost()) => {}
                 }
@@ -33,9 +30,6 @@
                 shared.metrics.store_calls.inc();
                 tokio::select! {
                     result = (source.watch)(after, wait) => {
-                        if result.is_ok() {
-                            exchange.on_contact();
-                        }
                         on_watch(&shared, &exchange, &mut reader, after, result);
                     }
                     // A connection may not have outlived the sleep of this process.
@@ -49,10 +43,15 @@
     }
 }
 
-fn on_list(shared: &Shared, reader: &mut Reader, result: Result<Snapshot, SourceError>) {
+fn on_list(
+    shared: &Shared,
+    exchange: &Exchange,
+    reader: &mut Reader,
+    result: Result<Snapshot, SourceError>,
+) {
     match result {
         Ok(snapshot) => {
-            on_answer(shared, reader);
+            on_answer(shared, exchange, reader);
             let news = replace(shared, snapshot);
             shared.on_news(&news, "store");
             reader.on_list(shared.now());
@@ -70,7 +69,7 @@
 ) {
     match result {
         Ok(delta) => {
-            on_answer(shared, reader);
+            on_answer(shared, exchange, reader);
             let news = {
                 let beliefs = &mut *shared.beliefs.borrow_mut();
                 beliefs.book.extend(after, delta, &mut beliefs.balancer, shared.now())
@@ -92,7 +91,8 @@
     beliefs.book.replace(snapshot, &mut beliefs.balancer, shared.now())
 }
 
-fn on_answer(shared: &Shared, reader: &Reader) {
+fn on_answer(shared: &Shared, exchange: &Exchange, reader: &Reader) {
+    exchange.on_contact();
     let now = shared.now();
     if reader.is_lost() {
         let age = reader.age(now).as_millis();
