--- a/crates/core/src/quarantine/crash_detector.rs
+++ b/crates/core/src/quarantine/crash_detector.rs
@@ -9,11 +9,14 @@
 /// The maximum number of broken attempts that are kept.
 const CAPACITY: usize = 1_000;
 
+/// When the attempt broke, the content and the server.
+type Broken = (Time, Fingerprint, Name);
+
 /// Distinguishes crashes of servers from broken connections: a server that crashed cannot be
 /// reached afterwards.
 #[derive(Clone, Debug, Default)]
 pub struct CrashDetector {
-    broken: VecDeque<(Time, Fingerprint, Name)>,
+    broken: VecDeque<Broken>,
 }
 
 impl CrashDetector {
@@ -33,11 +36,19 @@
     /// Records that a server is unreachable. Returns the contents that it was running when its
     /// connections broke.
     pub fn on_unreachable(&mut self, server: &Name, now: Time) -> Vec<Fingerprint> {
-        while self.broken.front().is_some_and(|it| now.since(it.0) >= CRASH_WINDOW) {
-            self.broken.pop_front();
-        }
-        let contents = self.broken.iter().filter(|it| it.2 == *server).map(|it| it.1).collect();
-        self.broken.retain(|it| it.2 != *server);
-        contents
+        let is_crash = |it: &Broken| it.2 == *server && now.since(it.0) < CRASH_WINDOW;
+        self.take(is_crash).into_iter().map(|it| it.1).collect()
+    }
+
+    /// Drops the broken attempts that are too old to be crashes, and returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<(Fingerprint, Name)> {
+        let old = self.take(|it| now.since(it.0) >= CRASH_WINDOW);
+        old.into_iter().map(|it| (it.1, it.2)).collect()
+    }
+
+    fn take(&mut self, is_taken: impl Fn(&Broken) -> bool) -> VecDeque<Broken> {
+        let (taken, rest) = self.broken.drain(..).partition(is_taken);
+        self.broken = rest;
+        taken
     }
 }
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -45,11 +45,13 @@
         true
     }
 
-    /// Clears a suspect content after a run without a crash. Does not end a quarantine.
-    pub fn clear(&mut self, fingerprint: Fingerprint) {
-        if self.crashed_servers(fingerprint).len() < CRASH_THRESHOLD {
-            self.crashes.remove(&fingerprint);
+    /// Clears a suspect content after a run without a crash. Does not end a quarantine. Returns the
+    /// servers whose crashes no longer count.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<Name> {
+        if self.crashed_servers(fingerprint).len() >= CRASH_THRESHOLD {
+            return Vec::new();
         }
+        self.crashes.remove(&fingerprint).unwrap_or_default()
     }
 
     /// Returns the servers that crashed while they were running a content.
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -38,6 +38,8 @@
 pub const UPSTREAM: Event = Event::new(5110, Level::Info, "upstream changed");
 /// The observations of this node and nearby nodes show a slow or failing backend server.
 pub const SUSPECT: Event = Event::new(5111, Level::Info, "backend server suspected");
+/// Evidence that a request crashed a backend server no longer counts.
+pub const EVIDENCE_DROPPED: Event = Event::new(5112, Level::Info, "evidence of a crash dropped");
 
 /// A request was served.
 pub const SERVED: Event = Event::new(5201, Level::Info, "request served");
@@ -56,7 +58,29 @@
 
 /// All events, by number.
 pub const ALL: &[Event] = &[
-    STARTED, STOPPING, STOPPED, RELOADED, PAUSED, TROUBLE, PLAN, SERVER, CLOSED, STORE_LOST,
-    STORE_BACK, FINDING, FETCHED, NODES, CRASH, UPSTREAM, SUSPECT, SERVED, PARTIAL, REFUSED,
-    FAILED, REJECTED, LEFT, ATTEMPT,
+    STARTED,
+    STOPPING,
+    STOPPED,
+    RELOADED,
+    PAUSED,
+    TROUBLE,
+    PLAN,
+    SERVER,
+    CLOSED,
+    STORE_LOST,
+    STORE_BACK,
+    FINDING,
+    FETCHED,
+    NODES,
+    CRASH,
+    UPSTREAM,
+    SUSPECT,
+    EVIDENCE_DROPPED,
+    SERVED,
+    PARTIAL,
+    REFUSED,
+    FAILED,
+    REJECTED,
+    LEFT,
+    ATTEMPT,
 ];
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -149,8 +149,8 @@
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref(), error.as_ref());
             self.record_crash_evidence(&attempt, end);
-        } else if !self.shared.state.borrow().quarantine.is_empty() {
-            self.shared.state.borrow_mut().quarantine.clear(self.fingerprint);
+        } else {
+            self.shared.clear_suspect(self.fingerprint);
         }
         if let Some(reply) = reply {
             self.replies.insert(attempt.number, reply);
@@ -170,25 +170,21 @@
     fn record_crash_evidence(&mut self, attempt: &Attempt, end: End) {
         let server = &attempt.server.id;
         let now = self.shared.now();
-        let state = &mut *self.shared.state.borrow_mut();
-        match end {
-            End::Broken => {
-                state.crash_detector.on_broken(self.fingerprint, server.clone(), now);
-            }
-            End::Unsent => {
-                for fingerprint in state.crash_detector.on_unreachable(server, now) {
-                    if !state.quarantine.record_crash(fingerprint, server.clone(), now) {
-                        continue;
-                    }
-                    events::CRASH.emit(&[
-                        ("fingerprint", &fingerprint),
-                        ("server", server),
-                        ("source", &"own attempt"),
-                    ]);
-                    self.exchange.announce_crash(fingerprint, server);
+        let contents = {
+            let detector = &mut self.shared.state.borrow_mut().crash_detector;
+            match end {
+                End::Broken => {
+                    detector.on_broken(self.fingerprint, server.clone(), now);
+                    return;
                 }
+                End::Unsent => detector.on_unreachable(server, now),
+                _ => return,
+            }
+        };
+        for fingerprint in contents {
+            if self.shared.on_crash(fingerprint, server, "own attempt") {
+                self.exchange.announce_crash(fingerprint, server);
             }
-            _ => {}
         }
     }
 
@@ -280,6 +276,7 @@
         events::ATTEMPT.emit(&[
             ("id", &self.id),
             ("rule", &self.run.rule().name),
+            ("fingerprint", &self.fingerprint),
             ("server", &attempt.server.id),
             ("service", &attempt.server.service),
             ("end", &label(end)),
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -51,6 +51,7 @@
     };
     let now = shared.now();
     if shared.state.borrow_mut().quarantine.is_quarantined(query.fingerprint, now) {
+        shared.metrics.quarantine_refusals.inc();
         events::REFUSED.emit(&[
             ("id", &id),
             ("rule", &rule.name),
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -18,8 +18,13 @@
     answers: IntCounterVec,
     latency: HistogramVec,
     attempts: IntCounterVec,
+    crashes: IntCounterVec,
     /// The number of shards missing from answers.
     pub missing_shards: IntCounter,
+    /// The number of requests refused because their content crashes servers.
+    pub quarantine_refusals: IntCounter,
+    /// The number of contents with at least one crash.
+    pub suspect_contents: IntGauge,
     /// The number of hedged attempts.
     pub hedges: IntCounter,
     /// The number of requests in progress.
@@ -51,6 +56,12 @@
             )
             .expect("the name is valid"),
             attempts: counters("attempts_total", "Attempts at servers.", &["service", "end"]),
+            crashes: counters("crashes_total", "Crashes of servers by a content.", &["source"]),
+            quarantine_refusals: counter(
+                "quarantine_refusals_total",
+                "Requests refused because their content crashes servers.",
+            ),
+            suspect_contents: gauge("suspect_contents", "Contents held against a crash."),
             missing_shards: counter("missing_shards_total", "Shards that answers lacked."),
             hedges: counter("hedges_total", "Second attempts beside one that was late."),
             under_way: gauge("requests_under_way", "Requests under way."),
@@ -76,16 +87,24 @@
         self.attempts.with_label_values(&[service.as_str(), label(end)]).inc();
     }
 
+    /// Records that a content crashed a server. `source` says who observed it.
+    pub fn on_crash(&self, source: &str) {
+        self.crashes.with_label_values(&[source]).inc();
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
         make::text(&self.registry)
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 12] = [
+        let collectors: [Box<dyn Collector>; 15] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.attempts.clone()),
+            Box::new(self.crashes.clone()),
+            Box::new(self.quarantine_refusals.clone()),
+            Box::new(self.suspect_contents.clone()),
             Box::new(self.missing_shards.clone()),
             Box::new(self.hedges.clone()),
             Box::new(self.under_way.clone()),
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -121,6 +121,7 @@
         shared.resumed.notify_waiters();
     }
     shared.pool.expire(tick.now);
+    shared.expire_evidence(tick.now);
     let changes = {
         let state = &mut *shared.state.borrow_mut();
         state.mirror.tick(&mut state.balancer, tick.now)
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -10,6 +10,8 @@
 use mimosabridge::{
     balance::{self, Balancer},
     feed::{Event, Mirror},
+    fingerprint::Fingerprint,
+    name::Name,
     plan::Plan,
     quarantine::{CrashDetector, List},
     stop::Stop,
@@ -88,6 +90,43 @@
         self.state.borrow().mirror.plan().cloned()
     }
 
+    /// Records that a content crashed a server. `source` says who observed it. Returns whether this
+    /// is new.
+    pub fn on_crash(&self, fingerprint: Fingerprint, server: &Name, source: &str) -> bool {
+        let now = self.now();
+        let quarantine = &mut self.state.borrow_mut().quarantine;
+        if !quarantine.record_crash(fingerprint, server.clone(), now) {
+            return false;
+        }
+        self.metrics.on_crash(source);
+        self.metrics.suspect_contents.set(quarantine.len() as i64);
+        events::CRASH.emit(&[
+            ("fingerprint", &fingerprint),
+            ("server", server),
+            ("source", &source),
+        ]);
+        true
+    }
+
+    /// Clears a content that a server has answered, unless it is quarantined.
+    pub fn clear_suspect(&self, fingerprint: Fingerprint) {
+        let quarantine = &mut self.state.borrow_mut().quarantine;
+        if quarantine.is_empty() {
+            return;
+        }
+        for server in quarantine.clear(fingerprint) {
+            emit_dropped(fingerprint, &server, "answered");
+        }
+        self.metrics.suspect_contents.set(quarantine.len() as i64);
+    }
+
+    /// Drops broken attempts that were not found to be crashes in time.
+    pub fn expire_evidence(&self, now: Time) {
+        for (fingerprint, server) in self.state.borrow_mut().crash_detector.expire(now) {
+            emit_dropped(fingerprint, &server, "server not found unreachable");
+        }
+    }
+
     /// Updates whether callers should be sent to this node.
     pub fn refresh_ready(&self) {
         let state = self.state.borrow();
@@ -125,3 +164,11 @@
         self.refresh_ready();
     }
 }
+
+fn emit_dropped(fingerprint: Fingerprint, server: &Name, reason: &str) {
+    events::EVIDENCE_DROPPED.emit(&[
+        ("fingerprint", &fingerprint),
+        ("server", server),
+        ("reason", &reason),
+    ]);
+}
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -45,15 +45,7 @@
         match news {
             News::Config { stamp, .. } => self.on_revision(stamp.version),
             News::Crash { fingerprint, server } => {
-                let now = self.shared.now();
-                let quarantine = &mut self.shared.state.borrow_mut().quarantine;
-                if quarantine.record_crash(fingerprint, server.clone(), now) {
-                    events::CRASH.emit(&[
-                        ("fingerprint", &fingerprint),
-                        ("server", &server),
-                        ("source", &"peer"),
-                    ]);
-                }
+                self.shared.on_crash(fingerprint, &server, "peer");
             }
             News::Seen(samples) => self.on_report(&samples, "peer"),
             News::Member(_) | News::State(_) | News::Leaving { .. } => {}
