--- a/crates/core/tests/direct/budget_window.rs
+++ b/crates/core/tests/direct/budget_window.rs
@@ -63,3 +63,32 @@
         assert!(spent <= allowed, "{spent} extra requests from {from} ms, {allowed} allowed");
     }
 }
+
+/// Nine nodes try an extra request with each request, and all processes are killed and start again
+/// in the middle of a window. Their counts are lost, the extra requests have arrived.
+#[test]
+fn counts_lost_at_restart() {
+    const RESTART: u64 = 24_000;
+    let mut windows = vec![Window::new(); 9];
+    let mut extras = Vec::new();
+    let mut started = 0;
+    for milli in (0..48_000_u64).step_by(22) {
+        if started == 0 && milli >= RESTART {
+            windows = vec![Window::new(); 9];
+            started = RESTART;
+        }
+        // The clock of a process begins with it.
+        let now = Time::from_millis(milli - started);
+        let window = &mut windows[(milli / 22 % 9) as usize];
+        window.on_request(now);
+        extras.extend(window.spend_retry(&allowance(9), now).then_some(milli));
+    }
+    let allowed = RATIO * 10_000.0 / 22.0 + BURST;
+    for from in (0..38_000).step_by(100) {
+        let spent = extras.iter().filter(|it| (from..from + 10_000).contains(*it)).count();
+        assert!(
+            spent as f64 <= allowed,
+            "{spent} extra requests from {from} ms, {allowed} allowed"
+        );
+    }
+}
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -28,7 +28,7 @@
 use tokio::task::LocalSet;
 
 pub use self::{
-    caller::{ask, get, request},
+    caller::{Answer, ask, get, request},
     server::{Behavior, Server},
 };
 
@@ -158,7 +158,7 @@
     Ipv4Addr::new(127, by_process.max(1), high, low).into()
 }
 
-fn entry(server: &Server) -> Entry {
+pub fn entry(server: &Server) -> Entry {
     Entry {
         id: server.id.clone(),
         service: server.service.clone(),
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -8,6 +8,8 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
+    sync::Notify,
+    task::JoinSet,
 };
 
 /// How a server answers.
@@ -27,6 +29,8 @@
     Extra,
     /// It never answers.
     Hang,
+    /// It ends when it receives a request for a path that contains "crash", and answers others.
+    Crash,
     /// It answers 503 without the header that says that the request has not run.
     Bare503,
 }
@@ -41,6 +45,7 @@
     pub requests: Rc<RefCell<Vec<String>>>,
     /// The number of connections that the other side closed before the answer.
     pub disconnected: Rc<Cell<usize>>,
+    end: Rc<Notify>,
 }
 
 impl Server {
@@ -54,26 +59,41 @@
             behavior: Rc::new(Cell::new(behavior)),
             requests: Rc::default(),
             disconnected: Rc::default(),
+            end: Rc::default(),
         };
         let (behavior, requests) = (server.behavior.clone(), server.requests.clone());
         let disconnected = server.disconnected.clone();
-        let id = server.id.clone();
+        let (id, end) = (server.id.clone(), server.end.clone());
         tokio::task::spawn_local(async move {
+            let mut connections = JoinSet::new();
             loop {
-                let Ok((stream, _)) = listener.accept().await else { return };
+                let stream = tokio::select! {
+                    // Drops the listener and all connections.
+                    () = end.notified() => return,
+                    accepted = listener.accept() => match accepted {
+                        Ok((stream, _)) => stream,
+                        Err(_) => return,
+                    },
+                };
                 let (behavior, requests) = (behavior.clone(), requests.clone());
-                tokio::task::spawn_local(serve(
+                connections.spawn_local(serve(
                     stream,
                     id.clone(),
                     behavior,
                     requests,
                     disconnected.clone(),
+                    end.clone(),
                 ));
             }
         });
         server
     }
 
+    /// Ends the server as a crash does: its port and its connections are closed.
+    pub fn crash(&self) {
+        self.end.notify_one();
+    }
+
     pub fn arrivals(&self) -> usize {
         self.requests.borrow().len()
     }
@@ -85,9 +105,11 @@
     behavior: Rc<Cell<Behavior>>,
     requests: Rc<RefCell<Vec<String>>>,
     disconnected: Rc<Cell<usize>>,
+    end: Rc<Notify>,
 ) {
     while let Some(text) = read(&mut stream).await {
         let request_id = field(&text, "x-id").unwrap_or_default();
+        let is_crash = text.lines().next().is_some_and(|it| it.contains("crash"));
         requests.borrow_mut().push(text);
         let number = requests.borrow().len();
         let body = format!("{:_>16}", id.as_str());
@@ -99,7 +121,11 @@
             )
         };
         let bytes = match behavior.get() {
-            Behavior::Correct => answer(&request_id, &body),
+            Behavior::Crash if is_crash => {
+                end.notify_one();
+                return std::future::pending().await;
+            }
+            Behavior::Correct | Behavior::Crash => answer(&request_id, &body),
             Behavior::Shed => {
                 "HTTP/1.1 503 Full\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
             }
