Check each server that broke a connection, so that its crash is noticed

Cause: a crash counted only if the same node happened to connect to that server within 1.5 s of the break. The balancer avoids a server that failed, its entry disappears, or the content is rare, so that the sign never arose; and any answer of another shard withdrew what was known. The gate path checks servers after a break; the direct path had lost that.

Change: Detector keeps lost attempts for 10 s, until the server answers something sent later or a sign shows that it has ended: a refused connection, an entry that is removed or names another start, another server at the address, and for broken connections one that does not open. After a break the node opens a connection to the server once, 100 ms later. Silent attempts and a new connection that times out prove nothing together, a leaving server is no crash, a reset of a new connection shows a server that is full. Only a whole run without a lost attempt clears a content, and only crashes before its start. News of a crash carries its age and whether the attempt was a repeat.

--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -1,7 +1,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::{Mark, Record, State};
-use crate::{balance::Sample, config::Stamp, fingerprint::Fingerprint, name::Name};
+use crate::{
+    balance::Sample, config::Stamp, fingerprint::Fingerprint, name::Name, quarantine::Crash,
+    time::Time,
+};
 
 /// A news item, which spreads to every node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -30,12 +33,27 @@
         fingerprint: Fingerprint,
         /// The name of the server.
         server: Name,
+        /// The time since the attempt at the server broke, in milliseconds.
+        age_millis: u32,
+        /// Whether the attempt was sent after an earlier one with the same content had broken.
+        is_repeat: bool,
     },
     /// Recent observations of backend servers by one node.
     Seen(Vec<Sample>),
 }
 
 impl News {
+    /// Creates the news of a crash.
+    pub fn crash(fingerprint: Fingerprint, crash: &Crash, now: Time) -> News {
+        let age = now.since(crash.at).as_millis();
+        News::Crash {
+            fingerprint,
+            server: crash.server.clone(),
+            age_millis: u32::try_from(age).unwrap_or(u32::MAX),
+            is_repeat: crash.is_repeat,
+        }
+    }
+
     /// Returns whether the news is pushed at once instead of waiting for the next probes.
     pub fn is_urgent(&self) -> bool {
         match self {
@@ -54,6 +72,10 @@
             (News::State(new), News::State(old)) => new.key == old.key,
             (News::Config { .. }, News::Config { .. }) => true,
             (News::Leaving { server: new, .. }, News::Leaving { server: old, .. }) => new == old,
+            (
+                News::Crash { fingerprint, server, .. },
+                News::Crash { fingerprint: old, server: old_server, .. },
+            ) => (fingerprint, server) == (old, old_server),
             _ => self == other,
         }
     }
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -127,6 +127,11 @@
         if news.is_urgent() { self.push(vec![news], None, rng) } else { Vec::new() }
     }
 
+    /// Pushes news at once, without queueing it: its sender repeats it in other ways.
+    pub fn push_now(&mut self, news: News, rng: &mut impl Rng) -> Vec<Action> {
+        self.push(vec![news], None, rng)
+    }
+
     /// Announces that this node stops.
     pub fn leave(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Action> {
         self.now = now;
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -3,25 +3,52 @@
     time::Duration,
 };
 
+use super::Crash;
 use crate::{fingerprint::Fingerprint, name::Name, time::Time};
 
-/// The number of different servers that a content must crash to be quarantined.
+/// The number of crashes after which a content is quarantined, unless it is cleared.
 pub const CRASH_THRESHOLD: usize = 2;
 
 /// How long a crash counts.
 const TTL: Duration = Duration::from_secs(300);
 
-/// The maximum number of crashes in a list.
+/// Crashes that are farther apart than this are independent: one fault ends its servers together.
+/// Two nodes that saw the same crash report times that differ by less.
+const INDEPENDENT_AFTER: Duration = Duration::from_secs(1);
+
+/// The maximum number of contents in a list.
 const CAPACITY: usize = 10_000;
 
+/// The maximum number of crashes that are kept for a content.
+const MAX_CRASHES: usize = 4;
+
 /// Crashes of backend servers, by the content that they were running.
 ///
-/// A content that crashed two servers is quarantined until the crashes expire. A content that
-/// crashed one server is suspect until the crash expires or a run without a crash clears it.
+/// A content that crashed two servers is quarantined until the crashes expire. A content with one
+/// crash is suspect until the crash expires or a run without a crash clears it.
 #[derive(Clone, Debug, Default)]
 pub struct List {
-    crashes: HashMap<Fingerprint, Vec<Name>>,
-    order: VecDeque<(Time, Fingerprint, Name)>,
+    contents: HashMap<Fingerprint, Content>,
+    /// The contents in the order of their last crash, which may be out of date.
+    order: VecDeque<(Time, Fingerprint)>,
+}
+
+/// What a crash changes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// The crash was known.
+    Known,
+    /// The crash is new.
+    Recorded,
+    /// The crash is new, and the content is quarantined from now on.
+    Quarantined,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    crashes: Vec<Crash>,
+    /// When the last run without a crash started. Earlier crashes do not count.
+    cleared: Option<Time>,
 }
 
 impl List {
@@ -30,63 +57,119 @@
         List::default()
     }
 
-    /// Records a crash. Returns whether it is new.
-    pub fn record_crash(&mut self, fingerprint: Fingerprint, server: Name, now: Time) -> bool {
+    /// Records a crash.
+    pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: Time) -> Effect {
         self.expire(now);
-        let servers = self.crashes.entry(fingerprint).or_default();
-        if servers.contains(&server) {
-            return false;
+        let content = self.contents.entry(fingerprint).or_default();
+        let was_quarantined = content.is_quarantined(now);
+        let at = crash.at;
+        if !content.record(crash) {
+            return Effect::Known;
         }
-        servers.push(server.clone());
-        self.order.push_back((now, fingerprint, server));
-        if self.order.len() > CAPACITY {
+        let is_quarantined = content.is_quarantined(now);
+        self.order.push_back((at, fingerprint));
+        while self.contents.len() > CAPACITY {
             self.drop_oldest();
         }
-        true
+        match is_quarantined && !was_quarantined {
+            true => Effect::Quarantined,
+            false => Effect::Recorded,
+        }
     }
 
-    /// Clears a suspect content after a run without a crash. Does not end a quarantine. Returns the
-    /// servers whose crashes no longer count.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> Vec<Name> {
-        if self.crashed_servers(fingerprint).len() >= CRASH_THRESHOLD {
+    /// Clears a suspect content after a run without a crash that started at `started`. Does not end
+    /// a quarantine. Returns the servers whose crashes no longer count.
+    pub fn clear(&mut self, fingerprint: Fingerprint, started: Time, now: Time) -> Vec<Name> {
+        let Some(content) = self.contents.get_mut(&fingerprint) else { return Vec::new() };
+        if content.is_quarantined(now) {
             return Vec::new();
         }
-        self.crashes.remove(&fingerprint).unwrap_or_default()
+        let cleared = content.counted(now).filter(|it| it.at <= started);
+        let cleared = cleared.map(|it| it.server.clone()).collect();
+        content.cleared = content.cleared.max(Some(started));
+        cleared
     }
 
     /// Returns the servers that crashed while they were running a content.
-    pub fn crashed_servers(&self, fingerprint: Fingerprint) -> &[Name] {
-        self.crashes.get(&fingerprint).map_or(&[], |it| it)
+    pub fn crashed_servers(&self, fingerprint: Fingerprint, now: Time) -> Vec<Name> {
+        let crashes = self.contents.get(&fingerprint).into_iter().flat_map(|it| it.counted(now));
+        crashes.map(|it| it.server.clone()).collect()
+    }
+
+    /// Returns whether a content crashed a server before a time.
+    pub fn has_crashed(&self, fingerprint: Fingerprint, before: Time, now: Time) -> bool {
+        let content = self.contents.get(&fingerprint);
+        content.is_some_and(|it| it.counted(now).any(|it| it.at <= before))
     }
 
     /// Returns whether a content is quarantined and must not be run.
-    pub fn is_quarantined(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
-        self.expire(now);
-        self.crashed_servers(fingerprint).len() >= CRASH_THRESHOLD
+    pub fn is_quarantined(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        self.contents.get(&fingerprint).is_some_and(|it| it.is_quarantined(now))
     }
 
     /// Returns the number of contents with at least one crash.
     pub fn len(&self) -> usize {
-        self.crashes.len()
+        self.contents.len()
     }
 
     /// Returns whether the list holds no crash.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty()
+        self.contents.is_empty()
     }
 
     fn expire(&mut self, now: Time) {
         while self.order.front().is_some_and(|it| now.since(it.0) >= TTL) {
-            self.drop_oldest();
+            let Some((_, fingerprint)) = self.order.pop_front() else { return };
+            let Some(content) = self.contents.get_mut(&fingerprint) else { continue };
+            content.crashes.retain(|it| now.since(it.at) < TTL);
+            if content.crashes.is_empty() {
+                self.contents.remove(&fingerprint);
+            }
         }
     }
 
     fn drop_oldest(&mut self) {
-        let Some((_, fingerprint, server)) = self.order.pop_front() else { return };
-        let Some(servers) = self.crashes.get_mut(&fingerprint) else { return };
-        servers.retain(|it| *it != server);
-        if servers.is_empty() {
-            self.crashes.remove(&fingerprint);
+        let Some((at, fingerprint)) = self.order.pop_front() else { return };
+        let content = self.contents.get(&fingerprint);
+        if content.is_some_and(|it| it.crashes.iter().all(|it| it.at <= at)) {
+            self.contents.remove(&fingerprint);
         }
     }
 }
+
+impl Content {
+    /// Adds a crash. Returns whether it is new, or newly known to be a repeat.
+    fn record(&mut self, crash: Crash) -> bool {
+        let is_same = |it: &&mut Crash| it.server == crash.server && !are_apart(it, &crash);
+        if let Some(known) = self.crashes.iter_mut().find(is_same) {
+            let is_news = crash.is_repeat && !known.is_repeat;
+            known.is_repeat |= crash.is_repeat;
+            return is_news;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            let oldest = (0..self.crashes.len()).min_by_key(|it| self.crashes[*it].at);
+            let Some(oldest) = oldest.filter(|it| self.crashes[*it].at < crash.at) else {
+                return false;
+            };
+            self.crashes.remove(oldest);
+        }
+        self.crashes.push(crash);
+        true
+    }
+
+    fn is_quarantined(&self, now: Time) -> bool {
+        self.counted(now).count() >= CRASH_THRESHOLD
+    }
+
+    /// Returns the crashes that count.
+    fn counted(&self, now: Time) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .iter()
+            .filter(move |it| now.since(it.at) < TTL && self.cleared.is_none_or(|at| it.at > at))
+    }
+}
+
+/// Returns whether two crashes are so far apart that no single fault explains both.
+fn are_apart(one: &Crash, other: &Crash) -> bool {
+    one.at.since(other.at).max(other.at.since(one.at)) >= INDEPENDENT_AFTER
+}
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,9 +1,13 @@
 //! Quarantine for requests whose content crashes backend servers.
+//!
+//! Answers a content that comes again and again, at any node, and ends each server that runs it.
 
-mod crash_detector;
+mod crash;
+mod detector;
 mod list;
 
 pub use self::{
-    crash_detector::CrashDetector,
-    list::{CRASH_THRESHOLD, List},
+    crash::Crash,
+    detector::{Detector, Loss, Sign},
+    list::{CRASH_THRESHOLD, Effect, List},
 };
--- a/crates/core/src/query/attempt.rs
+++ b/crates/core/src/query/attempt.rs
@@ -10,6 +10,8 @@
     pub shard: Name,
     /// The server and the gate that the attempt goes to.
     pub route: Route,
+    /// Whether the attempt is made after a server has crashed with the content.
+    pub is_repeat: bool,
     /// When the reply is due at the latest.
     pub deadline: Time,
 }
--- a/crates/core/src/query/run.rs
+++ b/crates/core/src/query/run.rs
@@ -339,7 +339,9 @@
         self.hedge_queue.push_back((now, index));
         self.attempts.insert(id, Pending { index, route: route.clone(), took_token });
         let shard = self.shards[index].target.shard.clone();
-        Some(Action::Send(Attempt { id, shard, route, deadline: self.plan.deadline }))
+        let is_repeat = !self.crashed.is_empty();
+        let deadline = self.plan.deadline;
+        Some(Action::Send(Attempt { id, shard, route, is_repeat, deadline }))
     }
 
     fn cancel_shard(&mut self, index: usize) -> Vec<Action> {
--- a/crates/core/src/wire/sub_request.rs
+++ b/crates/core/src/wire/sub_request.rs
@@ -11,4 +11,6 @@
     pub server: Name,
     /// The shard to search.
     pub shard: Name,
+    /// Whether the attempt is made after a server has crashed with the content of the call.
+    pub is_repeat: bool,
 }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -8,7 +8,7 @@
 mod choice_of_server;
 mod cold_share;
 mod counted_nodes;
-mod crash_detector;
+mod crash_evidence;
 mod final_answer;
 mod lapsed_entries;
 mod load_patterns;
--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -1,11 +1,11 @@
-use std::{future::poll_fn, net::SocketAddr, pin::pin, task::Poll, time::Duration};
+use std::{future::poll_fn, io::ErrorKind, net::SocketAddr, pin::pin, task::Poll, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
-use mimosabridge::time::Time;
+use mimosabridge::{quarantine::Sign, time::Time};
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -44,6 +44,21 @@
     },
 }
 
+impl LinkError {
+    /// Returns what the error shows about the end of the server, if anything. A reset does not: a
+    /// server without room resets new connections.
+    pub fn sign(&self) -> Option<Sign> {
+        let LinkError::Connect { source } = self else {
+            return matches!(self, LinkError::ConnectTimeout).then_some(Sign::Unreachable);
+        };
+        match source.kind() {
+            ErrorKind::ConnectionRefused => Some(Sign::Refused),
+            ErrorKind::ConnectionReset => None,
+            _ => Some(Sign::Unreachable),
+        }
+    }
+}
+
 impl Link {
     /// Opens a connection.
     pub async fn open(address: SocketAddr, now: Time) -> Result<Link, LinkError> {
--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -10,7 +10,7 @@
 };
 
 use super::serve::serve;
-use crate::{events, node::Shared, peers::Exchange};
+use crate::{events, node::Shared};
 
 /// How long to wait after a connection could not be accepted, usually for lack of descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -26,7 +26,6 @@
     shared: Rc<Shared>,
     listener: TcpListener,
     phase: watch::Receiver<Option<Phase>>,
-    exchange: Exchange,
 ) {
     let mut closing = phase.clone();
     loop {
@@ -34,7 +33,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     let (shared, phase) = (shared.clone(), phase.clone());
-                    tokio::task::spawn_local(connection(shared, stream, phase, exchange.clone()));
+                    tokio::task::spawn_local(connection(shared, stream, phase));
                 }
                 Err(error) => {
                     events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]);
@@ -50,7 +49,6 @@
     shared: Rc<Shared>,
     stream: TcpStream,
     mut phase: watch::Receiver<Option<Phase>>,
-    exchange: Exchange,
 ) {
     let limits = shared.plan().map_or_else(Limits::default, |it| *it.limits());
     let keepalive =
@@ -59,7 +57,7 @@
     // stays open longer after the caller is gone.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let service = service_fn(|request| serve(shared.clone(), exchange.clone(), request));
+    let service = service_fn(|request| serve(shared.clone(), request));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout counts from the last answer, so it includes the idle time of the connection.
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -2,8 +2,10 @@
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use mimosabridge::{
+    directory::Entry,
     fingerprint::Fingerprint,
     plan::{Plan, Target},
+    quarantine::{Loss, Sign},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
     time::Time,
 };
@@ -13,17 +15,20 @@
     respond::{self, Answer},
 };
 use crate::{
-    backend::{Completion, LinkError, Outgoing, Reply, exchange},
+    backend::{Completion, Link, LinkError, Outgoing, Reply, exchange},
     events,
     metrics::label,
     node::Shared,
-    peers::Exchange,
 };
 
 /// How long attempts that are no longer needed may continue after the answer: most finish in this
 /// time, so that their connection can be reused and the latency of their server is recorded.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// How long after a broken connection its server is checked: a process that ends closes its
+/// connections and its port one after the other, and takes seconds to start again.
+const CHECK_DELAY: Duration = Duration::from_millis(100);
+
 /// One in this many fast successes is logged.
 const LOG_ONE_IN: u64 = 64;
 
@@ -32,7 +37,6 @@
 /// A request in progress with its I/O. Dropping it cancels the attempts.
 struct Execution {
     shared: Rc<Shared>,
-    exchange: Exchange,
     plan: Arc<Plan>,
     run: Run,
     outgoing: Rc<Outgoing>,
@@ -41,17 +45,13 @@
     started_at: Time,
     attempts: FuturesUnordered<LocalBoxFuture<'static, Ended>>,
     replies: HashMap<usize, Reply>,
+    /// Whether an attempt was lost, so that its server may have crashed.
+    has_lost: bool,
     is_answered: bool,
 }
 
 /// Serves a valid request and returns the answer to the caller.
-pub async fn drive(
-    shared: Rc<Shared>,
-    exchange: Exchange,
-    plan: Arc<Plan>,
-    query: Query,
-    id: String,
-) -> Answer {
+pub async fn drive(shared: Rc<Shared>, plan: Arc<Plan>, query: Query, id: String) -> Answer {
     let started_at = shared.now();
     let run = {
         let balancer = &mut shared.state.borrow_mut().balancer;
@@ -60,7 +60,6 @@
     };
     let mut execution = Execution {
         shared,
-        exchange,
         plan,
         run,
         outgoing: Rc::new(query.outgoing),
@@ -69,6 +68,7 @@
         started_at,
         attempts: FuturesUnordered::new(),
         replies: HashMap::new(),
+        has_lost: false,
         is_answered: false,
     };
     let verdict = execution.execute().await;
@@ -148,10 +148,8 @@
         self.shared.metrics.on_attempt(&attempt.server.service, end);
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref(), error.as_ref());
-            self.record_crash_evidence(&attempt, end);
-        } else {
-            self.shared.clear_suspect(self.fingerprint);
         }
+        self.record_evidence(&attempt, end, error.as_ref());
         if let Some(reply) = reply {
             self.replies.insert(attempt.number, reply);
         }
@@ -166,31 +164,37 @@
         end == End::Served && known.any(|it| it == signature)
     }
 
-    /// Records evidence that the request crashed the server, and quarantines contents that did.
-    fn record_crash_evidence(&mut self, attempt: &Attempt, end: End) {
+    /// Records what the end of an attempt tells about crashes of its server.
+    fn record_evidence(&mut self, attempt: &Attempt, end: End, error: Option<&LinkError>) {
         let server = &attempt.server.id;
-        let now = self.shared.now();
-        let contents = {
-            let detector = &mut self.shared.state.borrow_mut().crash_detector;
-            match end {
-                End::Broken => {
-                    detector.on_broken(self.fingerprint, server.clone(), now);
-                    return;
-                }
-                End::Unsent => detector.on_unreachable(server, now),
-                _ => return,
+        match end {
+            End::Broken => self.record_loss(attempt, Loss::Broken),
+            End::Silent => self.record_loss(attempt, Loss::Silent),
+            End::Misdirected => self.shared.on_sign(server, Sign::Replaced, "own attempt"),
+            End::Unsent => {
+                let Some(sign) = error.and_then(LinkError::sign) else { return };
+                self.shared.on_sign(server, sign, "own attempt");
             }
-        };
-        for fingerprint in contents {
-            if self.shared.on_crash(fingerprint, server, "own attempt") {
-                self.exchange.announce_crash(fingerprint, server);
+            End::Served | End::Failed | End::Shed | End::Invalid => {
+                self.shared.on_reached(server, attempt.sent);
             }
         }
     }
 
+    fn record_loss(&mut self, attempt: &Attempt, loss: Loss) {
+        self.has_lost = true;
+        let server = &attempt.server;
+        if self.shared.on_lost(self.fingerprint, &server.id, loss, attempt.sent) {
+            tokio::task::spawn_local(check_server(self.shared.clone(), server.clone()));
+        }
+    }
+
     fn answer(&mut self, verdict: Verdict) -> Answer {
         let latency = self.shared.now().since(self.started_at);
         self.log_verdict(&verdict, latency);
+        if !self.has_lost && self.is_served_whole(&verdict) {
+            self.shared.clear_suspect(self.fingerprint, self.started_at);
+        }
         match verdict {
             Verdict::Pass(number) => match self.replies.remove(&number) {
                 Some(reply) => respond::pass(reply),
@@ -212,6 +216,15 @@
         }
     }
 
+    /// Returns whether all shards have answered with success.
+    fn is_served_whole(&self, verdict: &Verdict) -> bool {
+        match verdict {
+            Verdict::Pass(number) => self.run.end(*number) == Some(End::Served),
+            Verdict::Merge { missing, .. } => *missing == 0,
+            Verdict::Refuse(_) | Verdict::Fail(_) => false,
+        }
+    }
+
     fn log_verdict(&self, verdict: &Verdict, latency: Duration) {
         let (event, outcome) = match verdict {
             Verdict::Pass(number) if self.run.end(*number) == Some(End::Served) => {
@@ -288,6 +301,23 @@
     }
 }
 
+/// Opens a connection to a server that broke one, to find out whether it has crashed: the requests to
+/// come may avoid it until it runs again. The connection is kept for them.
+async fn check_server(shared: Rc<Shared>, server: Arc<Entry>) {
+    tokio::time::sleep(CHECK_DELAY).await;
+    let now = shared.now();
+    match Link::open(server.address, now).await {
+        Ok(link) => {
+            shared.on_reached(&server.id, now);
+            shared.pool.keep(&server.id, link, now).await;
+        }
+        Err(error) => {
+            let Some(sign) = error.sign() else { return };
+            shared.on_sign(&server.id, sign, "check");
+        }
+    }
+}
+
 impl Drop for Execution {
     fn drop(&mut self) {
         if self.is_answered {
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -9,7 +9,7 @@
     incoming::{self, Rejection},
     respond::{self, Answer},
 };
-use crate::{events, node::Shared, peers::Exchange};
+use crate::{events, node::Shared};
 
 /// The `Retry-After` time of a node that has no configuration yet.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
@@ -18,13 +18,9 @@
 const QUARANTINED_RETRY: Duration = Duration::from_secs(300);
 
 /// Serves one request.
-pub async fn serve(
-    shared: Rc<Shared>,
-    exchange: Exchange,
-    request: Request<Incoming>,
-) -> Result<Answer, Infallible> {
+pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Result<Answer, Infallible> {
     let running = Running::new(shared.clone());
-    let mut answer = answer(&shared, exchange, request).await;
+    let mut answer = answer(&shared, request).await;
     if shared.state.borrow().stop.is_some() {
         // Makes the caller send its next request to a node that is not stopping.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
@@ -33,7 +29,7 @@
     Ok(answer)
 }
 
-async fn answer(shared: &Rc<Shared>, exchange: Exchange, request: Request<Incoming>) -> Answer {
+async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> Answer {
     let (head, body) = request.into_parts();
     let id = id(&head, shared);
     let Some(plan) = shared.plan() else {
@@ -50,7 +46,7 @@
         Err(rejection) => return reject(&id, plan.version(), Some(&rule), rejection),
     };
     let now = shared.now();
-    if shared.state.borrow_mut().quarantine.is_quarantined(query.fingerprint, now) {
+    if shared.state.borrow().quarantine.is_quarantined(query.fingerprint, now) {
         shared.metrics.quarantine_refusals.inc();
         events::REFUSED.emit(&[
             ("id", &id),
@@ -61,7 +57,7 @@
         ]);
         return respond::refused(QUARANTINED_RETRY, "this content crashes backend servers");
     }
-    drive(shared.clone(), exchange, plan, query, id).await
+    drive(shared.clone(), plan, query, id).await
 }
 
 fn reject(id: &str, version: u64, rule: Option<&Rule>, (status, text): Rejection) -> Answer {
--- a/crates/direct/src/node/mod.rs
+++ b/crates/direct/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! One node: its settings, its shared state and its execution from start to stop.
 
 mod admin;
+mod crashes;
 mod run;
 mod settings;
 mod shared;
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -76,7 +76,7 @@
         exchange.clone(),
     ));
     let (phases, phase) = watch::channel(None);
-    tokio::task::spawn_local(front::accept(shared.clone(), listener, phase, exchange.clone()));
+    tokio::task::spawn_local(front::accept(shared.clone(), listener, phase));
 
     let mut ticks = timer.every(TICK_INTERVAL);
     loop {
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -9,11 +9,11 @@
 
 use mimosabridge::{
     balance::{self, Balancer},
+    directory::Change,
     feed::{Event, Mirror},
     fingerprint::Fingerprint,
-    name::Name,
     plan::Plan,
-    quarantine::{CrashDetector, List},
+    quarantine::{Crash, Detector, List, Sign},
     stop::Stop,
     time::Time,
 };
@@ -51,8 +51,10 @@
     pub mirror: Mirror,
     /// The contents that crash servers.
     pub quarantine: List,
-    /// The broken attempts that are not yet known to be crashes or not.
-    pub crash_detector: CrashDetector,
+    /// The lost attempts that are not yet known to be crashes or not.
+    pub crash_detector: Detector,
+    /// The crashes that other nodes must learn at once.
+    pub unpushed_crashes: Vec<(Fingerprint, Crash)>,
     /// The planned stop, once it has begun.
     pub stop: Option<Stop>,
     /// The number of requests in progress.
@@ -70,7 +72,8 @@
                 balancer: Balancer::new(settings, seed),
                 mirror: Mirror::new(),
                 quarantine: List::new(),
-                crash_detector: CrashDetector::new(),
+                crash_detector: Detector::new(),
+                unpushed_crashes: Vec::new(),
                 stop: None,
                 running: 0,
             }),
@@ -90,43 +93,6 @@
         self.state.borrow().mirror.plan().cloned()
     }
 
-    /// Records that a content crashed a server. `source` says who observed it. Returns whether this
-    /// is new.
-    pub fn on_crash(&self, fingerprint: Fingerprint, server: &Name, source: &str) -> bool {
-        let now = self.now();
-        let quarantine = &mut self.state.borrow_mut().quarantine;
-        if !quarantine.record_crash(fingerprint, server.clone(), now) {
-            return false;
-        }
-        self.metrics.on_crash(source);
-        self.metrics.suspect_contents.set(quarantine.len() as i64);
-        events::CRASH.emit(&[
-            ("fingerprint", &fingerprint),
-            ("server", server),
-            ("source", &source),
-        ]);
-        true
-    }
-
-    /// Clears a content that a server has answered, unless it is quarantined.
-    pub fn clear_suspect(&self, fingerprint: Fingerprint) {
-        let quarantine = &mut self.state.borrow_mut().quarantine;
-        if quarantine.is_empty() {
-            return;
-        }
-        for server in quarantine.clear(fingerprint) {
-            emit_dropped(fingerprint, &server, "answered");
-        }
-        self.metrics.suspect_contents.set(quarantine.len() as i64);
-    }
-
-    /// Drops broken attempts that were not found to be crashes in time.
-    pub fn expire_evidence(&self, now: Time) {
-        for (fingerprint, server) in self.state.borrow_mut().crash_detector.expire(now) {
-            emit_dropped(fingerprint, &server, "server not found unreachable");
-        }
-    }
-
     /// Updates whether callers should be sent to this node.
     pub fn refresh_ready(&self) {
         let state = self.state.borrow();
@@ -149,6 +115,9 @@
                     events::PLAN.emit(&[common[0], common[1], ("version", version)]);
                 }
                 Event::Server(change) => {
+                    if let Change::Removed(id) | Change::Restarted(id) = change {
+                        self.on_sign(id, Sign::Replaced, "store");
+                    }
                     let change = format!("{change:?}");
                     events::SERVER.emit(&[common[0], common[1], ("change", &change)]);
                 }
@@ -164,11 +133,3 @@
         self.refresh_ready();
     }
 }
-
-fn emit_dropped(fingerprint: Fingerprint, server: &Name, reason: &str) {
-    events::EVIDENCE_DROPPED.emit(&[
-        ("fingerprint", &fingerprint),
-        ("server", server),
-        ("reason", &reason),
-    ]);
-}
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -9,7 +9,6 @@
 use mimosabridge::{
     config::{Digest, Stamp},
     feed::{Lag, Selector, Upstream},
-    fingerprint::Fingerprint,
     member::{Action, News, Packet, Peer, Record, SizeEstimator, State},
     name::Name,
     time::Time,
@@ -98,14 +97,6 @@
 }
 
 impl Exchange {
-    /// Announces to the other nodes that a content crashed a server.
-    pub fn announce_crash(&self, fingerprint: Fingerprint, server: &Name) {
-        let news = News::Crash { fingerprint, server: server.clone() };
-        let rng = &mut *self.inner.rng.borrow_mut();
-        let actions = self.inner.peer.borrow_mut().announce(news, rng);
-        self.inner.act(actions);
-    }
-
     /// Records that the store answered this node, or a peer of it, `age` ago.
     pub fn on_contact(&self, age: Duration) {
         let contact = self.inner.shared.now().before(age);
@@ -239,6 +230,7 @@
         self.act(actions);
         self.answer_waiting();
         self.report(tick.now);
+        self.push_crashes(tick.now);
         self.update_node_count(tick.now);
     }
 
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use mimosabridge::{balance::Sample, member::News, time::Time};
+use mimosabridge::{balance::Sample, member::News, quarantine::Crash, time::Time};
 
 use super::exchange::Inner;
 use crate::events;
@@ -26,6 +26,16 @@
         self.act(actions);
     }
 
+    /// Sends the crashes that other nodes must learn at once to some of them.
+    pub fn push_crashes(&self, now: Time) {
+        let crashes = std::mem::take(&mut self.shared.state.borrow_mut().unpushed_crashes);
+        for (fingerprint, crash) in crashes {
+            let news = News::crash(fingerprint, &crash, now);
+            let actions = self.peer.borrow_mut().push_now(news, &mut *self.rng.borrow_mut());
+            self.act(actions);
+        }
+    }
+
     fn on_report(&self, samples: &[Sample], source: &str) {
         let now = self.shared.now();
         let balancer = &mut self.shared.state.borrow_mut().balancer;
@@ -44,8 +54,9 @@
     pub fn on_news(&self, news: News) {
         match news {
             News::Config { stamp, .. } => self.on_revision(stamp.version),
-            News::Crash { fingerprint, server } => {
-                self.shared.on_crash(fingerprint, &server, "peer");
+            News::Crash { fingerprint, server, age_millis, is_repeat } => {
+                let at = self.shared.now().before(Duration::from_millis(age_millis.into()));
+                self.shared.on_peer_crash(fingerprint, Crash { server, at, is_repeat });
             }
             News::Seen(samples) => self.on_report(&samples, "peer"),
             News::Member(_) | News::State(_) | News::Leaving { .. } => {}
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -75,6 +75,7 @@
             state.chooser.choose(&set, &self.rule, &state.holdings, now)
         };
         let mut may_restart = true;
+        let started = self.coordinator.timer.now();
         loop {
             let Some(snapshot) = pinned else {
                 return Answer::not_run(Refusal::NotConfigured);
@@ -85,7 +86,7 @@
                     self.span.set("covered", coverage.answered as i64);
                     self.span.set("snapshot", snapshot.version as i64);
                     if coverage.is_complete() {
-                        self.coordinator.record_harmless(self.content);
+                        self.coordinator.record_harmless(self.content, started);
                     }
                     return Answer::new(
                         snapshot.version,
@@ -140,7 +141,7 @@
     }
 
     fn plan(&self, snapshot: &Snapshot, may_restart: bool, now: Time) -> Plan {
-        let crashed = self.coordinator.quarantine().crashed_servers(self.content).to_vec();
+        let crashed = self.coordinator.quarantine().crashed_servers(self.content, now);
         let state = &mut *self.coordinator.lock();
         let targets =
             state.table.targets(&self.rule, snapshot, &state.holdings, now, &mut state.rng);
@@ -212,7 +213,8 @@
             self.coordinator.on_sent(&server);
             let sent = Sent { call: id, server: server.clone(), gate: gate.clone(), sent_at: now };
             self.sent.insert(attempt.id, sent);
-            subs.push(SubRequest { attempt: attempt.id, server, shard: attempt.shard });
+            let (shard, is_repeat) = (attempt.shard, attempt.is_repeat);
+            subs.push(SubRequest { attempt: attempt.id, server, shard, is_repeat });
         }
         let parent = self.span.context();
         let mut span =
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -1,7 +1,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::{IpAddr, SocketAddr},
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -11,7 +11,7 @@
     member::{Action, News, Packet, Peer, Record, State},
     name::Name,
     place,
-    quarantine::List,
+    quarantine::{Crash, Effect, List},
     time::Time,
 };
 use rand::{SeedableRng, rngs::StdRng};
@@ -223,7 +223,11 @@
             Message::PlatformAnswered => self.on_platform_read(now),
             Message::Vms(live, leaving) => self.on_vms(&live, &leaving),
             Message::ServerLeaving(server) => self.on_server_leaving(server),
-            Message::ServerCrashed(fingerprint, server) => self.on_crash(fingerprint, server),
+            Message::ServerCrashed(fingerprint, crash) => {
+                if self.on_crash(fingerprint, crash.clone()) != Effect::Known {
+                    self.push_crash(fingerprint, &crash);
+                }
+            }
             Message::Leave(done) => self.on_leave(done),
         }
     }
@@ -305,7 +309,14 @@
             News::Member(_) | News::State(_) | News::Seen(_) => {}
             News::Config { stamp, in_force } => self.on_stamp(stamp, in_force, from),
             News::Leaving { server, round } => self.on_leaving(server, round),
-            News::Crash { fingerprint, server } => self.on_crash(fingerprint, server),
+            News::Crash { fingerprint, server, age_millis, is_repeat } => {
+                let at = self.timer.now().before(Duration::from_millis(age_millis.into()));
+                let crash = Crash { server, at, is_repeat };
+                // Only the news that decides is passed on at once: one fault makes many suspects.
+                if self.on_crash(fingerprint, crash.clone()) == Effect::Quarantined {
+                    self.push_crash(fingerprint, &crash);
+                }
+            }
         }
     }
 
@@ -460,18 +471,24 @@
         }
     }
 
-    fn on_crash(&mut self, fingerprint: Fingerprint, server: Name) {
+    fn on_crash(&mut self, fingerprint: Fingerprint, crash: Crash) -> Effect {
         let now = self.timer.now();
-        let is_new = self.quarantine.lock().expect("no holder of the lock panics").record_crash(
-            fingerprint,
-            server.clone(),
-            now,
-        );
-        if !is_new {
-            return;
+        let server = crash.server.clone();
+        let effect = self.quarantine().record_crash(fingerprint, crash, now);
+        if effect != Effect::Known {
+            events::SERVER_CRASHED.emit(&[("server", &server), ("content", &fingerprint)]);
         }
-        events::SERVER_CRASHED.emit(&[("server", &server), ("content", &fingerprint)]);
-        self.announce(News::Crash { fingerprint, server });
+        effect
+    }
+
+    fn push_crash(&mut self, fingerprint: Fingerprint, crash: &Crash) {
+        let news = News::crash(fingerprint, crash, self.timer.now());
+        let actions = self.peer.push_now(news, &mut self.rng);
+        self.act(actions);
+    }
+
+    fn quarantine(&self) -> MutexGuard<'_, List> {
+        self.quarantine.lock().expect("no holder of the lock panics")
     }
 
     fn on_leave(&mut self, done: oneshot::Sender<()>) {
--- a/crates/node/src/fleet/message.rs
+++ b/crates/node/src/fleet/message.rs
@@ -5,6 +5,7 @@
     fingerprint::Fingerprint,
     member::Record,
     name::Name,
+    quarantine::Crash,
 };
 use tokio::sync::oneshot;
 
@@ -30,7 +31,7 @@
     /// A backend server is leaving.
     ServerLeaving(Name),
     /// A backend server crashed while it processed this content.
-    ServerCrashed(Fingerprint, Name),
+    ServerCrashed(Fingerprint, Crash),
     /// Announces that this node leaves the fleet, then notifies the sender.
     Leave(oneshot::Sender<()>),
 }
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -11,7 +11,7 @@
     name::Name,
     outcome::{Failure, Hint, Outcome, Refusal},
     place::{self, Block, Placement},
-    quarantine::List,
+    quarantine::{Crash, List},
     time::Time,
     wire,
 };
@@ -216,6 +216,7 @@
                 server: sub.server,
                 shard: sub.shard,
                 offered: now,
+                is_repeat: sub.is_repeat,
                 exchange: None,
                 finished: false,
             };
@@ -233,7 +234,7 @@
 
     fn is_quarantined(&self, content: Fingerprint) -> bool {
         let now = self.parts.timer.now();
-        let mut list = self.parts.quarantine.lock().expect("no holder of the lock panics");
+        let list = self.parts.quarantine.lock().expect("no holder of the lock panics");
         list.is_quarantined(content, now)
     }
 
@@ -258,7 +259,10 @@
                 self.report_leaving(&server, report);
             }
             if matches!(completion.outcome, Outcome::Failed(Failure::Crashed)) {
-                let message = fleet::Message::ServerCrashed(job.call.content, server);
+                let message = fleet::Message::ServerCrashed(
+                    job.call.content,
+                    Crash { server, at: self.parts.timer.now(), is_repeat: job.is_repeat },
+                );
                 let _ = self.parts.fleet.send(message);
             }
         }
--- a/crates/node/src/gate/job.rs
+++ b/crates/node/src/gate/job.rs
@@ -17,6 +17,8 @@
     pub shard: Name,
     /// When the gate received the task.
     pub offered: Time,
+    /// Whether the attempt is made after a server has crashed with the content of the call.
+    pub is_repeat: bool,
     /// Aborts the exchange with the server, once the task was sent.
     pub exchange: Option<AbortHandle>,
     /// Whether the outcome was sent to the entry.
--- a/crates/node/src/node/runner.rs
+++ b/crates/node/src/node/runner.rs
@@ -185,7 +185,7 @@
     /// Returns whether the node refuses a content because it crashed servers.
     pub fn is_quarantined(&self, content: Fingerprint) -> bool {
         let now = self.timer.now();
-        let mut list = self.quarantine.lock().expect("no holder of the lock panics");
+        let list = self.quarantine.lock().expect("no holder of the lock panics");
         list.is_quarantined(content, now)
     }
 
