Hold no content for servers that one fault has ended

Cause: two crashed servers were taken for two proofs, though one fault explains both. A first try that took each retry for a proof of its own still held one content: its retry was sent within a millisecond of the first break and met the second server of the same fault.

Change: a content is quarantined by independent crashes: one is of an attempt that was sent 50 ms or more after another was lost, or they are a second apart, at whatever node and server. Until then a content with a crash, or with a broken connection whose server is not found running, is tried on one server without retry; the other shards get it once that one answers. That bounds what one more request can end.

--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -1,5 +1,11 @@
+use std::time::Duration;
+
 use crate::{name::Name, time::Time};
 
+/// An attempt repeats a lost one if it was sent this much later. Servers that one fault ends do not
+/// all end at the same moment, and an earlier attempt may reach another of them.
+pub(super) const REPEAT_GAP: Duration = Duration::from_millis(50);
+
 /// A crash of a backend server while it ran a content.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Crash {
@@ -7,7 +13,7 @@
     pub server: Name,
     /// When the attempt at the server broke.
     pub at: Time,
-    /// Whether the attempt was sent after an earlier one with the same content had broken. Attempts
-    /// that were under way together may have been ended by one fault.
+    /// Whether the attempt repeats an earlier one with the same content that was lost. Attempts that
+    /// were under way together may have been ended by one fault.
     pub is_repeat: bool,
 }
--- a/crates/core/src/quarantine/detector.rs
+++ b/crates/core/src/quarantine/detector.rs
@@ -1,6 +1,6 @@
 use std::{collections::HashMap, time::Duration};
 
-use super::Crash;
+use super::{Crash, crash::REPEAT_GAP};
 use crate::{fingerprint::Fingerprint, name::Name, time::Time};
 
 /// How long a lost attempt may be found to be a crash: a server that vanishes is silent for three
@@ -53,8 +53,7 @@
         Detector::default()
     }
 
-    /// Records that an attempt was lost. `is_repeat` says that it was sent after an earlier attempt
-    /// with the same content was lost. Returns whether the server must be checked: it broke a
+    /// Records that an attempt was lost. `is_repeat` says that it repeats an earlier one. Returns whether the server must be checked: it broke a
     /// connection, and no check of it is pending.
     pub fn on_lost(
         &mut self,
@@ -74,10 +73,17 @@
         loss == Loss::Broken && !is_checked
     }
 
-    /// Returns whether an attempt with a content was lost before a time.
-    pub fn has_lost(&self, fingerprint: Fingerprint, before: Time) -> bool {
+    /// Returns whether an attempt that was sent at `sent` repeats a lost one with the same content.
+    pub fn is_repeat(&self, fingerprint: Fingerprint, sent: Time) -> bool {
         let mut lost = self.lost.values().flatten();
-        lost.any(|it| it.fingerprint == fingerprint && it.at <= before)
+        lost.any(|it| it.fingerprint == fingerprint && it.at + REPEAT_GAP <= sent)
+    }
+
+    /// Returns whether the connection of an attempt with a content broke, and its server was not
+    /// found to be running since.
+    pub fn has_broken(&self, fingerprint: Fingerprint) -> bool {
+        let mut lost = self.lost.values().flatten();
+        lost.any(|it| it.fingerprint == fingerprint && it.loss == Loss::Broken)
     }
 
     /// Records that a server answered to an attempt or a connection that began at `since`. Returns
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -3,10 +3,10 @@
     time::Duration,
 };
 
-use super::Crash;
+use super::{Crash, crash::REPEAT_GAP};
 use crate::{fingerprint::Fingerprint, name::Name, time::Time};
 
-/// The number of crashes after which a content is quarantined, unless it is cleared.
+/// The number of crashes after which a content is quarantined, if they are independent.
 pub const CRASH_THRESHOLD: usize = 2;
 
 /// How long a crash counts.
@@ -24,8 +24,9 @@
 
 /// Crashes of backend servers, by the content that they were running.
 ///
-/// A content that crashed two servers is quarantined until the crashes expire. A content with one
-/// crash is suspect until the crash expires or a run without a crash clears it.
+/// A content is quarantined by two independent crashes until they expire: one is of an attempt that
+/// repeats another, or they are far apart. A content with other crashes is suspect until they expire
+/// or a run without a crash clears it; it is tried on one server before others get it.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     contents: HashMap<Fingerprint, Content>,
@@ -96,10 +97,15 @@
         crashes.map(|it| it.server.clone()).collect()
     }
 
-    /// Returns whether a content crashed a server before a time.
-    pub fn has_crashed(&self, fingerprint: Fingerprint, before: Time, now: Time) -> bool {
+    /// Returns whether a content has crashed a server.
+    pub fn is_suspect(&self, fingerprint: Fingerprint, now: Time) -> bool {
+        self.contents.get(&fingerprint).is_some_and(|it| it.counted(now).next().is_some())
+    }
+
+    /// Returns whether an attempt that was sent at `sent` repeats one that crashed a server.
+    pub fn is_repeat(&self, fingerprint: Fingerprint, sent: Time, now: Time) -> bool {
         let content = self.contents.get(&fingerprint);
-        content.is_some_and(|it| it.counted(now).any(|it| it.at <= before))
+        content.is_some_and(|it| it.counted(now).any(|it| it.at + REPEAT_GAP <= sent))
     }
 
     /// Returns whether a content is quarantined and must not be run.
@@ -158,7 +164,13 @@
     }
 
     fn is_quarantined(&self, now: Time) -> bool {
-        self.counted(now).count() >= CRASH_THRESHOLD
+        if self.counted(now).count() < CRASH_THRESHOLD {
+            return false;
+        }
+        let first = self.counted(now).min_by_key(|it| it.at);
+        let last = self.counted(now).max_by_key(|it| it.at);
+        let are_apart = first.zip(last).is_some_and(|(first, last)| are_apart(first, last));
+        are_apart || self.counted(now).any(|it| it.is_repeat)
     }
 
     /// Returns the crashes that count.
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -41,6 +41,8 @@
     attempts: Vec<Option<Attempt>>,
     ends: Vec<Option<End>>,
     timing: Timing,
+    /// Whether one shard is asked before the others.
+    has_canary: bool,
     is_finished: bool,
 }
 
@@ -59,7 +61,21 @@
         }
         let timing = Timing::new(&rule, caller_timeout, context.now);
         let shards = services.into_iter().map(Shard::new).collect();
-        Run { rule, shards, attempts: Vec::new(), ends: Vec::new(), timing, is_finished: false }
+        Run {
+            rule,
+            shards,
+            attempts: Vec::new(),
+            ends: Vec::new(),
+            timing,
+            has_canary: false,
+            is_finished: false,
+        }
+    }
+
+    /// Makes one attempt at one shard before the others are asked. If it is lost, the run ends: the
+    /// content of the request may crash servers.
+    pub fn with_canary(self) -> Run {
+        Run { has_canary: true, ..self }
     }
 
     /// Returns the rule that the request matched.
@@ -131,6 +147,9 @@
             let may_repeat = end.is_not_run() || self.rule.repeat == Repeat::Idempotent;
             shard.state = if may_repeat { State::Waiting } else { State::Lost };
         }
+        if self.is_held() && !end.is_not_run() {
+            self.shards.iter_mut().for_each(|it| it.state = State::Lost);
+        }
         self.step(context)
     }
 
@@ -185,6 +204,7 @@
         for index in 0..self.shards.len() {
             let shard = &self.shards[index];
             match shard.state {
+                State::Waiting if self.is_held() && self.is_under_way() => {}
                 State::Waiting => actions.extend(self.dispatch(index, context)),
                 State::Sent if shard.hedge_at.is_some_and(|it| it <= context.now) => {
                     self.shards[index].hedge_at = None;
@@ -199,9 +219,9 @@
     /// Makes the first attempt at a shard, or replaces an attempt that ended without success.
     fn dispatch(&mut self, index: usize, context: &mut Context<'_>) -> Option<Action> {
         let shard = &self.shards[index];
-        if shard.tried.len() as u32 >= self.rule.attempts
-            && shard.excluded.len() == shard.tried.len()
-            || shard.sends >= self.rule.attempts + MAX_EXTRA_SENDS
+        let max_attempts = self.max_attempts();
+        if shard.tried.len() as u32 >= max_attempts && shard.excluded.len() == shard.tried.len()
+            || shard.sends >= max_attempts + MAX_EXTRA_SENDS
         {
             self.shards[index].state = State::Lost;
             return None;
@@ -218,7 +238,7 @@
         let now = context.now;
         let shard = &self.shards[index];
         let is_extra = shard.sends > 0;
-        let may_be_new = (shard.tried.len() as u32) < self.rule.attempts;
+        let may_be_new = (shard.tried.len() as u32) < self.max_attempts();
         if is_hedge && (!may_be_new || self.rule.repeat == Repeat::Once) {
             return None;
         }
@@ -271,7 +291,7 @@
         }
         let lost = self.shards.iter().filter(|it| it.state == State::Lost).count();
         let is_infeasible = self.shards.len() - lost < self.needed();
-        let is_idle = !self.shards.iter().any(|it| it.under_way > 0);
+        let is_idle = !self.is_under_way();
         let is_undispatched = served == 0 && is_idle;
         let is_stalled = is_undispatched && now >= self.timing.dispatch_by
             || now >= self.timing.soft_deadline && is_idle;
@@ -314,6 +334,20 @@
         context.now.until(latest).max(least)
     }
 
+    /// Returns whether the shards wait for the answer of the first.
+    fn is_held(&self) -> bool {
+        self.has_canary && !self.shards.iter().any(Shard::is_served)
+    }
+
+    fn is_under_way(&self) -> bool {
+        self.shards.iter().any(|it| it.under_way > 0)
+    }
+
+    /// Returns the number of servers of a shard that the request may be sent to.
+    fn max_attempts(&self) -> u32 {
+        if self.is_held() { 1 } else { self.rule.attempts }
+    }
+
     fn needed(&self) -> usize {
         match &self.rule.target {
             Target::All(gather) => Gather::needed(gather),
--- a/crates/core/tests/direct/crash_evidence.rs
+++ b/crates/core/tests/direct/crash_evidence.rs
@@ -87,6 +87,29 @@
     assert!(detector.on_lost(content, &server(1), Loss::Broken, false, at(4)));
 }
 
+/// Two servers that one fault ends do not end at the same moment.
+#[test]
+fn repeats_later() {
+    let mut detector = Detector::new();
+    let content = fingerprint("a");
+    detector.on_lost(content, &server(1), Loss::Broken, false, at(0));
+    assert!(!detector.is_repeat(content, at(1)));
+    assert!(detector.is_repeat(content, at(50)));
+    assert!(!detector.is_repeat(fingerprint("b"), at(50)));
+}
+
+#[test]
+fn broken_until_reached() {
+    let mut detector = Detector::new();
+    let content = fingerprint("a");
+    detector.on_lost(content, &server(1), Loss::Silent, false, at(0));
+    assert!(!detector.has_broken(content));
+    detector.on_lost(content, &server(1), Loss::Broken, false, at(0));
+    assert!(detector.has_broken(content));
+    detector.on_reached(&server(1), at(1));
+    assert!(!detector.has_broken(content));
+}
+
 #[test]
 fn memory_bounded() {
     let mut detector = Detector::new();
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -19,4 +19,5 @@
 mod run_steps;
 mod shared_reports;
 mod store_reads;
+mod suspect_content;
 mod upstream_choice;
--- a/crates/core/tests/features/quarantine.rs
+++ b/crates/core/tests/features/quarantine.rs
@@ -39,6 +39,16 @@
     assert!(list.is_quarantined(poison(), NOW));
 }
 
+/// One fault ends several servers that were running the same harmless content.
+#[test]
+fn one_fault() {
+    let mut list = List::new();
+    for server in ["a", "b", "c"] {
+        list.record_crash(poison(), first(server), NOW);
+    }
+    assert!(!list.is_quarantined(poison(), NOW));
+}
+
 /// Two nodes each see one crash, some time apart.
 #[test]
 fn crashes_apart() {
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -53,10 +53,12 @@
 /// Serves a valid request and returns the answer to the caller.
 pub async fn drive(shared: Rc<Shared>, plan: Arc<Plan>, query: Query, id: String) -> Answer {
     let started_at = shared.now();
+    let is_suspect = shared.is_suspect(query.fingerprint);
     let run = {
         let balancer = &mut shared.state.borrow_mut().balancer;
         let mut context = Context { balancer, plan: &plan, now: started_at };
-        Run::new(query.rule, query.caller_timeout, &mut context)
+        let run = Run::new(query.rule, query.caller_timeout, &mut context);
+        if is_suspect { run.with_canary() } else { run }
     };
     let mut execution = Execution {
         shared,
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -18,8 +18,8 @@
             // A server that leaves ends as planned.
             return false;
         }
-        let is_repeat = state.crash_detector.has_lost(fingerprint, sent)
-            || state.quarantine.has_crashed(fingerprint, sent, now);
+        let is_repeat = state.crash_detector.is_repeat(fingerprint, sent)
+            || state.quarantine.is_repeat(fingerprint, sent, now);
         state.crash_detector.on_lost(fingerprint, server, loss, is_repeat, now)
     }
 
@@ -49,6 +49,13 @@
         }
     }
 
+    /// Returns whether a content may crash servers, so that it must be tried on one first.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
+        let state = self.state.borrow();
+        state.crash_detector.has_broken(fingerprint)
+            || state.quarantine.is_suspect(fingerprint, self.now())
+    }
+
     /// Clears a content after a run without a crash that started at `started`, unless it is
     /// quarantined.
     pub fn clear_suspect(&self, fingerprint: Fingerprint, started: Time) {
