Repeat known crashes to other nodes as long as they count

Cause: news of a crash went once to three nodes and with the next packets of the node that found it. A node that starts, is cut off or loses these datagrams found out anew. Ruled out by the test: a lost packet (loopback), a list that expired (12 s of 300).

Change: each probe of a peer and its answer carry up to six crashes, those of quarantined contents first and in turn, with their age, so that repeating does not prolong them and a cleared one stays cleared. Both daemons do it, since the gate path told its crashes once as well.

--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -54,6 +54,12 @@
         postcard::from_bytes(bytes).ok()
     }
 
+    /// Returns whether the packet probes a node or answers a probe. Such packets go to all nodes in
+    /// turn, and carry what every node must know sooner or later.
+    pub fn is_probe(&self) -> bool {
+        matches!(self.kind, Kind::Ping(_) | Kind::Ack(_))
+    }
+
     /// Adds news as long as the packet stays within [`MAX_PACKET_BYTES`]. Returns the number of
     /// items that were added.
     pub fn fill(&mut self, news: impl Iterator<Item = News>) -> usize {
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -4,7 +4,7 @@
 };
 
 use super::{Crash, crash::REPEAT_GAP};
-use crate::{fingerprint::Fingerprint, name::Name, time::Time};
+use crate::{fingerprint::Fingerprint, member::News, name::Name, time::Time};
 
 /// The number of crashes after which a content is quarantined, if they are independent.
 pub const CRASH_THRESHOLD: usize = 2;
@@ -22,16 +22,28 @@
 /// The maximum number of crashes that are kept for a content.
 const MAX_CRASHES: usize = 4;
 
+/// The most crashes of quarantined contents in one packet to another node.
+const MAX_QUARANTINED_NEWS: usize = 4;
+
+/// The most crashes in one packet to another node.
+const MAX_NEWS: usize = 6;
+
 /// Crashes of backend servers, by the content that they were running.
 ///
 /// A content is quarantined by two independent crashes until they expire: one is of an attempt that
 /// repeats another, or they are far apart. A content with other crashes is suspect until they expire
 /// or a run without a crash clears it; it is tried on one server before others get it.
+///
+/// Each node repeats its crashes to the others as long as they count, so that nodes learn them that
+/// start later, are cut off for a while, or lose packets.
 #[derive(Clone, Debug, Default)]
 pub struct List {
     contents: HashMap<Fingerprint, Content>,
     /// The contents in the order of their last crash, which may be out of date.
     order: VecDeque<(Time, Fingerprint)>,
+    /// The contents in the order in which they are repeated.
+    quarantined: VecDeque<Fingerprint>,
+    suspect: VecDeque<Fingerprint>,
 }
 
 /// What a crash changes.
@@ -61,6 +73,7 @@
     /// Records a crash.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: Time) -> Effect {
         self.expire(now);
+        let is_new_content = !self.contents.contains_key(&fingerprint);
         let content = self.contents.entry(fingerprint).or_default();
         let was_quarantined = content.is_quarantined(now);
         let at = crash.at;
@@ -69,13 +82,18 @@
         }
         let is_quarantined = content.is_quarantined(now);
         self.order.push_back((at, fingerprint));
+        if is_new_content {
+            self.suspect.push_back(fingerprint);
+        }
         while self.contents.len() > CAPACITY {
             self.drop_oldest();
         }
-        match is_quarantined && !was_quarantined {
-            true => Effect::Quarantined,
-            false => Effect::Recorded,
+        if !is_quarantined || was_quarantined {
+            return Effect::Recorded;
         }
+        self.suspect.retain(|it| *it != fingerprint);
+        self.quarantined.push_front(fingerprint);
+        Effect::Quarantined
     }
 
     /// Clears a suspect content after a run without a crash that started at `started`. Does not end
@@ -113,6 +131,29 @@
         self.contents.get(&fingerprint).is_some_and(|it| it.is_quarantined(now))
     }
 
+    /// Returns the crashes to repeat in the next packet to another node, those of quarantined
+    /// contents first. The contents take turns.
+    pub fn next_news(&mut self, now: Time) -> Vec<News> {
+        self.expire(now);
+        let mut news = Vec::new();
+        for _ in 0..self.quarantined.len() {
+            if news.len() >= MAX_QUARANTINED_NEWS {
+                break;
+            }
+            let Some(fingerprint) = self.quarantined.pop_front() else { break };
+            self.repeat(fingerprint, &mut news, now);
+        }
+        for _ in 0..self.suspect.len() {
+            if news.len() >= MAX_NEWS {
+                break;
+            }
+            let Some(fingerprint) = self.suspect.pop_front() else { break };
+            self.repeat(fingerprint, &mut news, now);
+        }
+        news.truncate(MAX_NEWS);
+        news
+    }
+
     /// Returns the number of contents with at least one crash.
     pub fn len(&self) -> usize {
         self.contents.len()
@@ -123,6 +164,17 @@
         self.contents.is_empty()
     }
 
+    /// Adds the crashes of a content to the news, and puts the content last in its turn.
+    fn repeat(&mut self, fingerprint: Fingerprint, news: &mut Vec<News>, now: Time) {
+        let Some(content) = self.contents.get(&fingerprint) else { return };
+        let counted = content.counted(now);
+        news.extend(counted.map(|it| News::crash(fingerprint, it, now)));
+        match content.is_quarantined(now) {
+            true => self.quarantined.push_back(fingerprint),
+            false => self.suspect.push_back(fingerprint),
+        }
+    }
+
     fn expire(&mut self, now: Time) {
         while self.order.front().is_some_and(|it| now.since(it.0) >= TTL) {
             let Some((_, fingerprint)) = self.order.pop_front() else { return };
--- a/crates/core/tests/features/quarantine.rs
+++ b/crates/core/tests/features/quarantine.rs
@@ -4,6 +4,7 @@
 
 use mimosabridge::{
     fingerprint::Fingerprint,
+    member::News,
     name::Name,
     quarantine::{Crash, Effect, List},
     time::Time,
@@ -29,6 +30,15 @@
     NOW + Duration::from_millis(millis)
 }
 
+/// Passes on what the next packet of a node carries.
+fn pass_on(from: &mut List, to: &mut List, now: Time) {
+    for news in from.next_news(now) {
+        let News::Crash { fingerprint, server, age_millis, is_repeat } = news else { continue };
+        let at = now.before(Duration::from_millis(age_millis.into()));
+        to.record_crash(fingerprint, Crash { server, at, is_repeat }, now);
+    }
+}
+
 #[test]
 fn two_crashes() {
     let mut list = List::new();
@@ -82,6 +92,45 @@
     assert!(list.is_quarantined(poison(), later(6)), "a success does not end a quarantine");
 }
 
+/// A node that has not seen the success repeats the crash.
+#[test]
+fn cleared_stays_cleared() {
+    let (mut list, mut other) = (List::new(), List::new());
+    list.record_crash(poison(), first("a"), NOW);
+    pass_on(&mut list, &mut other, NOW);
+    list.clear(poison(), later(1), later(2));
+    pass_on(&mut other, &mut list, later(3));
+    assert!(list.crashed_servers(poison(), later(3)).is_empty());
+}
+
+/// A node that starts after the quarantine learns it from the next packet, at any time.
+#[test]
+fn later_node_learns() {
+    let mut list = List::new();
+    list.record_crash(poison(), first("a"), NOW);
+    list.record_crash(poison(), repeat("b"), NOW);
+    for second in (0..295).step_by(5) {
+        let (now, mut started) = (later(second * 1_000), List::new());
+        pass_on(&mut list, &mut started, now);
+        assert!(started.is_quarantined(poison(), now), "{second} s later");
+    }
+}
+
+/// Suspects of a large fault do not delay what is quarantined.
+#[test]
+fn quarantined_first() {
+    let mut list = List::new();
+    for number in 0..500_u32 {
+        let content = Fingerprint::new(&Name::from("rule"), &number.to_le_bytes());
+        list.record_crash(content, first("a"), NOW);
+    }
+    list.record_crash(poison(), first("a"), NOW);
+    list.record_crash(poison(), repeat("b"), NOW);
+    let mut started = List::new();
+    pass_on(&mut list, &mut started, NOW);
+    assert!(started.is_quarantined(poison(), NOW));
+}
+
 #[test]
 fn crashes_expire() {
     let seconds = |it: u64| later(it * 1_000);
@@ -92,10 +141,20 @@
     assert!(!list.is_quarantined(poison(), seconds(300)));
     assert!(!list.is_empty(), "the second crash still counts");
     assert!(!list.is_quarantined(poison(), seconds(600)));
-    assert!(!list.is_quarantined(poison(), seconds(600)));
-    let other = Fingerprint::new(&Name::from("rule"), b"other");
-    list.record_crash(other, Crash { at: seconds(600), ..first("c") }, seconds(600));
-    assert_eq!(list.len(), 1, "only the new crash is left");
+    assert!(list.next_news(seconds(600)).is_empty());
+    assert!(list.is_empty());
+}
+
+/// Two nodes that repeat a crash to each other do not keep it beyond its time.
+#[test]
+fn repeated_crash_expires() {
+    let (mut list, mut other) = (List::new(), List::new());
+    list.record_crash(poison(), first("a"), NOW);
+    for second in 0..301 {
+        pass_on(&mut list, &mut other, later(second * 1_000));
+        pass_on(&mut other, &mut list, later(second * 1_000 + 500));
+    }
+    assert!(list.is_empty() && other.is_empty());
 }
 
 #[test]
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -255,7 +255,11 @@
     pub(super) fn act(&self, actions: Vec<Action>) {
         for action in actions {
             match action {
-                Action::Send(address, packet) => {
+                Action::Send(address, mut packet) => {
+                    if packet.is_probe() {
+                        let quarantine = &mut self.shared.state.borrow_mut().quarantine;
+                        packet.fill(quarantine.next_news(self.shared.now()).into_iter());
+                    }
                     let bytes = packet.encode();
                     self.shared.metrics.peer_bytes.inc_by(bytes.len() as u64);
                     // A lost datagram is compensated by the next round of gossip.
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -236,7 +236,10 @@
         let mut changed = false;
         for action in actions {
             match action {
-                Action::Send(address, packet) => {
+                Action::Send(address, mut packet) => {
+                    if packet.is_probe() {
+                        packet.fill(self.quarantine().next_news(self.timer.now()).into_iter());
+                    }
                     let bytes = packet.encode();
                     self.metrics.packets_sent.inc();
                     self.metrics.bytes_sent.inc_by(bytes.len() as u64);
