Count what a predecessor may have spent of the retry budget

What callers saw: nothing yet. Servers may get more repeats than the rule allows when all nodes are killed and start again within ten seconds: 149 in a window, 148 allowed (counts_lost_at_restart, in virtual time).

Cause, of the same class as the incident's: the count of extra requests is known to one process alone, and a process that starts takes it for zero. Ruled out by the mean of the limit: nodes that do not know each other (each assumes 16 until it has met others).

Change: in the first ten seconds after its start a process uses 0.2 of its share of the burst, what the others leave of it, besides the ratio of its own requests.

--- a/crates/core/src/retry/window.rs
+++ b/crates/core/src/retry/window.rs
@@ -13,11 +13,16 @@
 /// counts.
 const USED_SHARE: f64 = 0.8;
 
+/// The share of the burst that a process uses in the first [`SPAN`] after its start: a process that
+/// it replaces may have used the rest, and its count is lost.
+const STARTED_SHARE: f64 = 0.2;
+
 /// The share of the limit that hedges leave to retries, which replace lost attempts.
 const HEDGE_RESERVE: f64 = 0.4;
 
 /// Limits the extra requests that this node sends to one service in a sliding window. The limit is
 /// a ratio of the requests that the node received, and its share of a burst for all nodes together.
+/// The time counts from the start of the process.
 #[derive(Clone, Debug)]
 pub struct Window {
     counts: [Count; PARTS + 1],
@@ -77,7 +82,9 @@
         let requests: u32 = self.counts.iter().map(|it| it.requests).sum();
         let requests = f64::from(requests - self.counts[oldest].requests);
         let burst = allowance.burst / f64::from(allowance.nodes.max(1));
-        let limit = (allowance.ratio * requests + burst) * USED_SHARE * (1.0 - reserve);
+        let burst_share = if now < Time::ZERO + SPAN { STARTED_SHARE } else { USED_SHARE };
+        let limit =
+            (allowance.ratio * requests * USED_SHARE + burst * burst_share) * (1.0 - reserve);
         if f64::from(self.extras()) + 1.0 > limit {
             return false;
         }
