Check servers of silent attempts, and try their contents on one server

What callers would see: a content that ends servers without closing their connections is sent to all shards again until the store removes the first of them, three heartbeats later.

Cause, found by asking what happens if the sign of a crash is late: a silent attempt was not followed by a check, and its content was suspect only once a crash was proven. A server that does not open a connection after a silent attempt may be cut off from this node, so it still proves nothing.

Change: such a server is checked as well; a content whose server could not be reached since is tried on one server first.

--- a/crates/core/src/quarantine/detector.rs
+++ b/crates/core/src/quarantine/detector.rs
@@ -45,6 +45,8 @@
     at: Time,
     loss: Loss,
     is_repeat: bool,
+    /// Whether the server could not be reached since.
+    is_unreachable: bool,
 }
 
 impl Detector {
@@ -53,8 +55,8 @@
         Detector::default()
     }
 
-    /// Records that an attempt was lost. `is_repeat` says that it repeats an earlier one. Returns whether the server must be checked: it broke a
-    /// connection, and no check of it is pending.
+    /// Records that an attempt was lost. `is_repeat` says that it repeats an earlier one. Returns
+    /// whether the server must be checked: no check of it is pending.
     pub fn on_lost(
         &mut self,
         fingerprint: Fingerprint,
@@ -67,10 +69,10 @@
             return false;
         }
         let lost = self.lost.entry(server.clone()).or_default();
-        let is_checked = lost.iter().any(|it| it.loss == Loss::Broken);
-        lost.push(Lost { fingerprint, at: now, loss, is_repeat });
+        let is_checked = lost.iter().any(|it| !it.is_unreachable);
+        lost.push(Lost { fingerprint, at: now, loss, is_repeat, is_unreachable: false });
         self.len += 1;
-        loss == Loss::Broken && !is_checked
+        !is_checked
     }
 
     /// Returns whether an attempt that was sent at `sent` repeats a lost one with the same content.
@@ -79,11 +81,14 @@
         lost.any(|it| it.fingerprint == fingerprint && it.at + REPEAT_GAP <= sent)
     }
 
-    /// Returns whether the connection of an attempt with a content broke, and its server was not
-    /// found to be running since.
-    pub fn has_broken(&self, fingerprint: Fingerprint) -> bool {
+    /// Returns whether a content may have crashed a server: the connection of an attempt broke, or
+    /// its server was silent and could not be reached, and the server was not found to be running
+    /// since.
+    pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         let mut lost = self.lost.values().flatten();
-        lost.any(|it| it.fingerprint == fingerprint && it.loss == Loss::Broken)
+        lost.any(|it| {
+            it.fingerprint == fingerprint && (it.loss == Loss::Broken || it.is_unreachable)
+        })
     }
 
     /// Records that a server answered to an attempt or a connection that began at `since`. Returns
@@ -94,6 +99,8 @@
 
     /// Records a sign that a server has ended. Returns the crashes that it proves.
     pub fn on_sign(&mut self, server: &Name, sign: Sign) -> Vec<(Fingerprint, Crash)> {
+        let lost = self.lost.get_mut(server).into_iter().flatten();
+        lost.for_each(|it| it.is_unreachable = true);
         let is_proof = |it: &Lost| it.loss == Loss::Broken || sign != Sign::Unreachable;
         let proven = self.take(server, is_proof).into_iter();
         let crash = |it: Lost| Crash { server: server.clone(), at: it.at, is_repeat: it.is_repeat };
--- a/crates/core/tests/direct/crash_evidence.rs
+++ b/crates/core/tests/direct/crash_evidence.rs
@@ -80,9 +80,9 @@
 fn checked_once() {
     let mut detector = Detector::new();
     let content = fingerprint("a");
-    assert!(!detector.on_lost(content, &server(1), Loss::Silent, false, at(0)));
-    assert!(detector.on_lost(content, &server(1), Loss::Broken, false, at(1)));
-    assert!(!detector.on_lost(content, &server(1), Loss::Broken, false, at(2)));
+    assert!(detector.on_lost(content, &server(1), Loss::Silent, false, at(0)));
+    assert!(!detector.on_lost(content, &server(1), Loss::Broken, false, at(1)));
+    assert!(detector.on_lost(content, &server(2), Loss::Broken, false, at(2)));
     detector.on_reached(&server(1), at(3));
     assert!(detector.on_lost(content, &server(1), Loss::Broken, false, at(4)));
 }
@@ -98,16 +98,19 @@
     assert!(!detector.is_repeat(fingerprint("b"), at(50)));
 }
 
+/// A content is tried on one server while another that it may have crashed has shown no sign of life.
 #[test]
-fn broken_until_reached() {
+fn suspect_until_reached() {
     let mut detector = Detector::new();
     let content = fingerprint("a");
     detector.on_lost(content, &server(1), Loss::Silent, false, at(0));
-    assert!(!detector.has_broken(content));
-    detector.on_lost(content, &server(1), Loss::Broken, false, at(0));
-    assert!(detector.has_broken(content));
+    assert!(!detector.is_suspect(content), "a slow server");
+    assert!(detector.on_sign(&server(1), Sign::Unreachable).is_empty());
+    assert!(detector.is_suspect(content));
     detector.on_reached(&server(1), at(1));
-    assert!(!detector.has_broken(content));
+    assert!(!detector.is_suspect(content));
+    detector.on_lost(content, &server(2), Loss::Broken, false, at(2));
+    assert!(detector.is_suspect(content));
 }
 
 #[test]
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -303,8 +303,8 @@
     }
 }
 
-/// Opens a connection to a server that broke one, to find out whether it has crashed: the requests to
-/// come may avoid it until it runs again. The connection is kept for them.
+/// Opens a connection to a server that did not answer, to find out whether it has crashed: the
+/// requests to come may avoid it until it runs again. The connection is kept for them.
 async fn check_server(shared: Rc<Shared>, server: Arc<Entry>) {
     tokio::time::sleep(CHECK_DELAY).await;
     let now = shared.now();
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -52,7 +52,7 @@
     /// Returns whether a content may crash servers, so that it must be tried on one first.
     pub fn is_suspect(&self, fingerprint: Fingerprint) -> bool {
         let state = self.state.borrow();
-        state.crash_detector.has_broken(fingerprint)
+        state.crash_detector.is_suspect(fingerprint)
             || state.quarantine.is_suspect(fingerprint, self.now())
     }
 
