Stop reading an answer that does not end

What callers would see: a server that sends bytes without end fills the memory of a node until the attempt's time is up (504 after 15 s, 64 MiB read on loopback before the test server pauses), and a node over its memory is killed with all its requests.

Cause: the body of an answer and the interim heads before it were read without a limit.

Change: the bytes that are read for one answer are counted below the HTTP library, so that every part of an answer is covered; after 1 MiB the attempt ends as invalid and the connection is closed.

--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -101,6 +101,7 @@
 fn end_of_error(error: &LinkError) -> End {
     match error {
         LinkError::Connect { .. } | LinkError::ConnectTimeout => End::Unsent,
+        LinkError::TooLong => End::Invalid,
         LinkError::Exchange { source } if source.is_canceled() => End::Unsent,
         LinkError::Exchange { source } if source.is_parse() => End::Invalid,
         LinkError::Exchange { .. } => End::Broken,
--- /dev/null
+++ b/crates/direct/src/backend/limited.rs
@@ -0,0 +1,96 @@
+use std::{
+    cell::Cell,
+    io::{self, IoSlice},
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
+    net::TcpStream,
+};
+
+/// A connection from which only a limited number of bytes can be read.
+pub struct Limited {
+    stream: TcpStream,
+    allowance: Allowance,
+}
+
+/// The number of bytes that may still be read from a connection. Clones share it.
+#[derive(Clone, Debug)]
+pub struct Allowance {
+    remaining: Rc<Cell<usize>>,
+}
+
+impl Allowance {
+    /// Creates an allowance of some bytes.
+    pub fn new(bytes: usize) -> Allowance {
+        Allowance { remaining: Rc::new(Cell::new(bytes)) }
+    }
+
+    /// Sets the number of bytes that may be read from now on.
+    pub fn reset(&self, bytes: usize) {
+        self.remaining.set(bytes);
+    }
+
+    /// Returns whether no more bytes may be read.
+    pub fn is_exhausted(&self) -> bool {
+        self.remaining.get() == 0
+    }
+}
+
+impl Limited {
+    /// Limits a connection to an allowance.
+    pub fn new(stream: TcpStream, allowance: Allowance) -> Limited {
+        Limited { stream, allowance }
+    }
+}
+
+impl AsyncRead for Limited {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.allowance.is_exhausted() {
+            return Poll::Ready(Err(io::Error::other("the server sent too many bytes")));
+        }
+        let before = buffer.filled().len();
+        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let read = buffer.filled().len() - before;
+        let remaining = self.allowance.remaining.get();
+        self.allowance.reset(remaining.saturating_sub(read));
+        result
+    }
+}
+
+impl AsyncWrite for Limited {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -7,19 +7,26 @@
 use hyper_util::rt::TokioIo;
 use mimosabridge::{quarantine::Sign, time::Time};
 use snafu::{ResultExt, Snafu};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpSocket;
+
+use super::limited::{Allowance, Limited};
 
 /// How long a connection may take to open. A server that does not answer by then is unreachable:
 /// a round trip takes a few milliseconds, and an overloaded server resets instead of waiting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The most bytes of an answer that are read, with its head. A node holds tens of answers at a time.
+const MAX_ANSWER_BYTES: usize = 1_024 * 1_024;
+
 type Body = Full<Bytes>;
+type Driver = Connection<TokioIo<Limited>, Body>;
 
 /// A connection to a backend server. It makes progress only while one of its methods is polled.
 pub struct Link {
     sender: SendRequest<Body>,
     /// `None` once the connection has ended.
-    driver: Option<Connection<TokioIo<TcpStream>, Body>>,
+    driver: Option<Driver>,
+    allowance: Allowance,
     /// When the connection was last used.
     pub last_used: Time,
 }
@@ -36,6 +43,9 @@
     /// The connection took too long to open.
     #[snafu(display("connecting timed out"))]
     ConnectTimeout,
+    /// The answer is too long, or has no end.
+    #[snafu(display("the answer is longer than {MAX_ANSWER_BYTES} bytes"))]
+    TooLong,
     /// The connection broke, or the data received over it is not HTTP.
     #[snafu(display("the exchange failed: {source}"))]
     Exchange {
@@ -71,20 +81,26 @@
         let Ok(stream) = connect.await else { return ConnectTimeoutSnafu.fail() };
         let stream = stream.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
-        let (sender, driver) = handshake.context(ExchangeSnafu)?;
-        Ok(Link { sender, driver: Some(driver), last_used: now })
+        let allowance = Allowance::new(MAX_ANSWER_BYTES);
+        let stream = TokioIo::new(Limited::new(stream, allowance.clone()));
+        let (sender, driver) = http1::handshake(stream).await.context(ExchangeSnafu)?;
+        Ok(Link { sender, driver: Some(driver), allowance, last_used: now })
     }
 
     /// Sends a request and returns the answer with its complete body.
     pub async fn exchange(&mut self, request: Request<Body>) -> Result<Response<Bytes>, LinkError> {
-        let Link { sender, driver, .. } = self;
+        let Link { sender, driver, allowance, .. } = self;
+        allowance.reset(MAX_ANSWER_BYTES);
         let work = async {
             let (head, body) = sender.send_request(request).await?.into_parts();
             let body = body.collect().await?.to_bytes();
             Ok(Response::from_parts(head, body))
         };
-        drive(driver, work).await.context(ExchangeSnafu)
+        let result = drive(driver, work).await;
+        if result.is_err() && allowance.is_exhausted() {
+            return TooLongSnafu.fail();
+        }
+        result.context(ExchangeSnafu)
     }
 
     /// Returns whether another request can be sent: the connection is open, and no data was
@@ -97,10 +113,7 @@
 }
 
 /// Polls a connection together with a future that depends on it, and returns the future's output.
-async fn drive<T>(
-    driver: &mut Option<Connection<TokioIo<TcpStream>, Body>>,
-    work: impl Future<Output = T>,
-) -> T {
+async fn drive<T>(driver: &mut Option<Driver>, work: impl Future<Output = T>) -> T {
     let mut work = pin!(work);
     poll_fn(|context| {
         if let Some(connection) = driver
--- a/crates/direct/src/backend/mod.rs
+++ b/crates/direct/src/backend/mod.rs
@@ -2,6 +2,7 @@
 
 mod classify;
 mod exchange;
+mod limited;
 mod link;
 mod pool;
 mod reply;
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -12,6 +12,9 @@
     task::JoinSet,
 };
 
+/// An endless answer pauses after this many bytes, for the memory of the machine.
+pub const ENDLESS_BYTES: usize = 64 * 1_024 * 1_024;
+
 /// How a server answers.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Behavior {
@@ -31,6 +34,9 @@
     Hang,
     /// It ends when it receives a request for a path that contains "crash", and answers others.
     Crash,
+    /// It sends these bytes again and again after the head of an answer, or in its place, until the
+    /// connection is closed.
+    Endless(&'static str, &'static str),
     /// It answers 503 without the header that says that the request has not run.
     Bare503,
 }
@@ -45,6 +51,8 @@
     pub requests: Rc<RefCell<Vec<String>>>,
     /// The number of connections that the other side closed before the answer.
     pub disconnected: Rc<Cell<usize>>,
+    /// The number of bytes of endless answers that were sent.
+    pub endless_bytes: Rc<Cell<usize>>,
     end: Rc<Notify>,
 }
 
@@ -59,11 +67,13 @@
             behavior: Rc::new(Cell::new(behavior)),
             requests: Rc::default(),
             disconnected: Rc::default(),
+            endless_bytes: Rc::default(),
             end: Rc::default(),
         };
         let (behavior, requests) = (server.behavior.clone(), server.requests.clone());
         let disconnected = server.disconnected.clone();
         let (id, end) = (server.id.clone(), server.end.clone());
+        let endless_bytes = server.endless_bytes.clone();
         tokio::task::spawn_local(async move {
             let mut connections = JoinSet::new();
             loop {
@@ -82,6 +92,7 @@
                     behavior,
                     requests,
                     disconnected.clone(),
+                    endless_bytes.clone(),
                     end.clone(),
                 ));
             }
@@ -105,6 +116,7 @@
     behavior: Rc<Cell<Behavior>>,
     requests: Rc<RefCell<Vec<String>>>,
     disconnected: Rc<Cell<usize>>,
+    endless_bytes: Rc<Cell<usize>>,
     end: Rc<Notify>,
 ) {
     while let Some(text) = read(&mut stream).await {
@@ -144,6 +156,19 @@
             Behavior::Extra => {
                 answer(&request_id, &body) + &answer(&request_id, "extra bytes here")
             }
+            Behavior::Endless(head, bytes) => {
+                if stream.write_all(head.as_bytes()).await.is_err() {
+                    return;
+                }
+                let bytes = bytes.repeat(64 * 1_024 / bytes.len());
+                while endless_bytes.get() < ENDLESS_BYTES {
+                    if stream.write_all(bytes.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    endless_bytes.set(endless_bytes.get() + bytes.len());
+                }
+                return std::future::pending().await;
+            }
             Behavior::Hang => {
                 let mut rest = [0; 16];
                 if matches!(stream.read(&mut rest).await, Ok(0) | Err(_)) {
