Stop reading an endless body at a gate

What callers would see: as on the direct path, a server that sends a body without end fills the memory of its gate until the request has been overdue for 5 s.

Change: the gate reads at most 1 MiB of a body and ends the attempt as a bad reply. Answers to health checks stay bounded by their 500 ms alone, the store's answers by nothing: both are open.

--- a/crates/node/src/backend/client.rs
+++ b/crates/node/src/backend/client.rs
@@ -5,7 +5,7 @@
     gate::Completion,
     outcome::{self, Failure, Outcome, Refusal},
 };
-use reqwest::{RequestBuilder, StatusCode};
+use reqwest::{RequestBuilder, Response, StatusCode};
 use snafu::{ResultExt, Snafu};
 
 use super::Request;
@@ -22,6 +22,9 @@
 /// How long an idle connection stays open: opening one costs more than keeping it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(300);
 
+/// The longest body of an answer. A gate holds tens of answers at a time.
+const MAX_BODY_BYTES: usize = 1_024 * 1_024;
+
 /// The HTTP client of one server.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -121,8 +124,9 @@
         Err(_) => return failed(Failure::Broken),
     };
     let status = response.status();
-    let body = match response.bytes().await {
-        Ok(body) => body,
+    let body = match read_body(response).await {
+        Ok(Some(body)) => body,
+        Ok(None) => return failed(Failure::BadReply),
         Err(error) if error.is_timeout() => return failed(Failure::TimedOut),
         Err(_) => return failed(Failure::Broken),
     };
@@ -134,6 +138,18 @@
     }
 }
 
+/// Reads the body of an answer. Returns `None` if it is longer than [`MAX_BODY_BYTES`].
+async fn read_body(mut response: Response) -> Result<Option<Vec<u8>>, reqwest::Error> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await? {
+        body.extend_from_slice(&chunk);
+        if body.len() > MAX_BODY_BYTES {
+            return Ok(None);
+        }
+    }
+    Ok(Some(body))
+}
+
 fn read_reply(body: &[u8], id: &str) -> Completion {
     let Ok(reply) = serde_json::from_slice::<Reply>(body) else {
         return failed(Failure::BadReply);
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod caller_gone;
 mod config_spread;
+mod endless_answers;
 mod operator_pages;
 mod planned_stop;
 mod poison;
