Query until each server of the data centre has run before reading its state

state_shown failed in 2 of 200 runs: an entry varies the time that it expects of a server by a fifth, so that the first query went to the other data centre now and then, and the test read the page too early.

Change: the test queries until the three servers of the data centre have each run a request, as they count themselves, and requires all three on the page, where it required one.

--- a/crates/node/tests/fleet/operator_pages.rs
+++ b/crates/node/tests/fleet/operator_pages.rs
@@ -24,12 +24,19 @@
 
 #[tokio::test]
 async fn state_shown() {
+    const SERVERS: [&str; 3] = ["a1", "a2", "a3"];
     let fleet = Fleet::start(Spec::new()).await;
-    fleet.query("entry-a", json!({})).await;
+    // An entry varies the time that it expects of a server, so that any query may go to the other
+    // data centre.
+    while SERVERS.iter().any(|it| fleet.servers[*it].model().stats().started == 0) {
+        fleet.query("entry-a", json!({})).await;
+    }
     let page = fleet.page("gate-a", "status").await;
     let status: Value = serde_json::from_str(&page).expect("the page is JSON");
     assert_eq!(status["nodes"], json!(["entry-a", "entry-b", "gate-a", "gate-b"]));
     assert_eq!(status["gates"], json!(["gate-a", "gate-b"]));
     assert_eq!(status["isolated"], false);
-    assert!(status["servers"]["a1"]["limit"].as_u64() >= Some(1), "{status}");
+    for server in SERVERS {
+        assert!(status["servers"][server]["limit"].as_u64() >= Some(1), "{server}: {status}");
+    }
 }
