Keep room for crashes in packets, and push all crashes of a content

What callers would see: on a fleet of 40 nodes that has just started, four more sends of a content 4 s after its third crash, three are allowed.

Found by a test of this commit: crash_spread drives the real peers, lists and detectors of 8 and 40 nodes in virtual time, with restarts, cuts and lost packets, while a content ends each server it reaches. News of members filled each packet for tens of seconds after the start, and a node that got only the second crash of a content did not pass it on.

Change: while there are crashes, probes and answers keep 160 bytes for them; a node that quarantines a content pushes all its crashes, so that the receiver can conclude the same. Ruled out: the order of news in the packet (crashes are added last in both daemons).

--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -63,11 +63,16 @@
     /// Adds news as long as the packet stays within [`MAX_PACKET_BYTES`]. Returns the number of
     /// items that were added.
     pub fn fill(&mut self, news: impl Iterator<Item = News>) -> usize {
+        self.fill_except(news, 0)
+    }
+
+    /// Adds news like [`Packet::fill`], but keeps room for some bytes of other news.
+    pub fn fill_except(&mut self, news: impl Iterator<Item = News>, reserve: usize) -> usize {
         let mut size = self.encode().len();
         let before = self.news.len();
         for item in news {
             size += postcard::to_allocvec(&item).map_or(MAX_PACKET_BYTES, |it| it.len());
-            if size > MAX_PACKET_BYTES {
+            if size + reserve > MAX_PACKET_BYTES {
                 break;
             }
             self.news.push(item);
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -38,6 +38,8 @@
     last_sync: Option<Time>,
     sync_wait: Duration,
     differing_packets: u32,
+    /// The room that probes and their answers keep for news that the driver adds, in bytes.
+    reserve: usize,
 }
 
 /// A ping that was sent on behalf of another node.
@@ -72,9 +74,15 @@
             last_sync: None,
             sync_wait: settings.min_sync_interval,
             differing_packets: 0,
+            reserve: 0,
         }
     }
 
+    /// Sets the room that probes and their answers keep for news that the driver adds, in bytes.
+    pub fn set_reserve(&mut self, bytes: usize) {
+        self.reserve = bytes;
+    }
+
     /// Returns the record of this node.
     pub fn own(&self) -> &Record {
         &self.own
@@ -128,8 +136,8 @@
     }
 
     /// Pushes news at once, without queueing it: its sender repeats it in other ways.
-    pub fn push_now(&mut self, news: News, rng: &mut impl Rng) -> Vec<Action> {
-        self.push(vec![news], None, rng)
+    pub fn push_now(&mut self, news: Vec<News>, rng: &mut impl Rng) -> Vec<Action> {
+        self.push(news, None, rng)
     }
 
     /// Announces that this node stops.
@@ -462,7 +470,7 @@
     /// Sends a packet with as much queued news as fits.
     fn send(&mut self, to: SocketAddr, kind: Kind) -> Action {
         let mut packet = self.empty_packet(kind);
-        let count = packet.fill(self.outbox.iter());
+        let count = packet.fill_except(self.outbox.iter(), self.reserve);
         self.outbox.on_sent(count, self.roster.live_count());
         Action::Send(to, Box::new(packet))
     }
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -28,6 +28,10 @@
 /// The most crashes in one packet to another node.
 const MAX_NEWS: usize = 6;
 
+/// The room that packets to other nodes keep for crashes while there are any, in bytes. A content
+/// with two crashes takes some 70.
+const NEWS_BYTES: usize = 160;
+
 /// Crashes of backend servers, by the content that they were running.
 ///
 /// A content is quarantined by two independent crashes until they expire: one is of an attempt that
@@ -131,6 +135,12 @@
         self.contents.get(&fingerprint).is_some_and(|it| it.is_quarantined(now))
     }
 
+    /// Returns the crashes of a content, for nodes that must learn them at once.
+    pub fn news(&self, fingerprint: Fingerprint, now: Time) -> Vec<News> {
+        let crashes = self.contents.get(&fingerprint).into_iter().flat_map(|it| it.counted(now));
+        crashes.map(|it| News::crash(fingerprint, it, now)).collect()
+    }
+
     /// Returns the crashes to repeat in the next packet to another node, those of quarantined
     /// contents first. The contents take turns.
     pub fn next_news(&mut self, now: Time) -> Vec<News> {
@@ -154,6 +164,11 @@
         news
     }
 
+    /// Returns the room that packets to other nodes must keep for crashes, in bytes.
+    pub fn news_bytes(&self) -> usize {
+        if self.is_empty() { 0 } else { NEWS_BYTES }
+    }
+
     /// Returns the number of contents with at least one crash.
     pub fn len(&self) -> usize {
         self.contents.len()
@@ -167,8 +182,7 @@
     /// Adds the crashes of a content to the news, and puts the content last in its turn.
     fn repeat(&mut self, fingerprint: Fingerprint, news: &mut Vec<News>, now: Time) {
         let Some(content) = self.contents.get(&fingerprint) else { return };
-        let counted = content.counted(now);
-        news.extend(counted.map(|it| News::crash(fingerprint, it, now)));
+        news.extend(self.news(fingerprint, now));
         match content.is_quarantined(now) {
             true => self.quarantined.push_back(fingerprint),
             false => self.suspect.push_back(fingerprint),
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod cold_share;
 mod counted_nodes;
 mod crash_evidence;
+mod crash_spread;
 mod final_answer;
 mod lapsed_entries;
 mod load_patterns;
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -35,8 +35,8 @@
     pub fn on_sign(&self, server: &Name, sign: Sign, source: &str) {
         let crashes = self.state.borrow_mut().crash_detector.on_sign(server, sign);
         for (fingerprint, crash) in crashes {
-            if self.record_crash(fingerprint, crash.clone(), source) != Effect::Known {
-                self.state.borrow_mut().unpushed_crashes.push((fingerprint, crash));
+            if self.record_crash(fingerprint, crash, source) != Effect::Known {
+                self.state.borrow_mut().unpushed_contents.insert(fingerprint);
             }
         }
     }
@@ -44,8 +44,8 @@
     /// Records a crash that another node observed. Only one that quarantines its content is passed
     /// on at once: one fault makes many contents suspect.
     pub fn on_peer_crash(&self, fingerprint: Fingerprint, crash: Crash) {
-        if self.record_crash(fingerprint, crash.clone(), "peer") == Effect::Quarantined {
-            self.state.borrow_mut().unpushed_crashes.push((fingerprint, crash));
+        if self.record_crash(fingerprint, crash, "peer") == Effect::Quarantined {
+            self.state.borrow_mut().unpushed_contents.insert(fingerprint);
         }
     }
 
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -1,5 +1,6 @@
 use std::{
     cell::RefCell,
+    collections::BTreeSet,
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -13,7 +14,7 @@
     feed::{Event, Mirror},
     fingerprint::Fingerprint,
     plan::Plan,
-    quarantine::{Crash, Detector, List, Sign},
+    quarantine::{Detector, List, Sign},
     stop::Stop,
     time::Time,
 };
@@ -53,8 +54,8 @@
     pub quarantine: List,
     /// The lost attempts that are not yet known to be crashes or not.
     pub crash_detector: Detector,
-    /// The crashes that other nodes must learn at once.
-    pub unpushed_crashes: Vec<(Fingerprint, Crash)>,
+    /// The contents whose crashes other nodes must learn at once.
+    pub unpushed_contents: BTreeSet<Fingerprint>,
     /// The planned stop, once it has begun.
     pub stop: Option<Stop>,
     /// The number of requests in progress.
@@ -73,7 +74,7 @@
                 mirror: Mirror::new(),
                 quarantine: List::new(),
                 crash_detector: Detector::new(),
-                unpushed_crashes: Vec::new(),
+                unpushed_contents: BTreeSet::new(),
                 stop: None,
                 running: 0,
             }),
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -222,6 +222,7 @@
     fn on_tick(&self, tick: timer::Tick) {
         let actions = {
             let mut peer = self.peer.borrow_mut();
+            peer.set_reserve(self.shared.state.borrow().quarantine.news_bytes());
             if tick.late >= PAUSE_THRESHOLD {
                 peer.on_pause(tick.now);
             }
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -28,9 +28,9 @@
 
     /// Sends the crashes that other nodes must learn at once to some of them.
     pub fn push_crashes(&self, now: Time) {
-        let crashes = std::mem::take(&mut self.shared.state.borrow_mut().unpushed_crashes);
-        for (fingerprint, crash) in crashes {
-            let news = News::crash(fingerprint, &crash, now);
+        let contents = std::mem::take(&mut self.shared.state.borrow_mut().unpushed_contents);
+        for content in contents {
+            let news = self.shared.state.borrow().quarantine.news(content, now);
             let actions = self.peer.borrow_mut().push_now(news, &mut *self.rng.borrow_mut());
             self.act(actions);
         }
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -173,6 +173,8 @@
             events::NODE_PAUSED.emit(&[("millis", &tick.late.as_millis())]);
             self.peer.on_pause(now);
         }
+        let reserve = self.quarantine().news_bytes();
+        self.peer.set_reserve(reserve);
         let actions = self.peer.tick(now, &mut self.rng);
         self.act(actions);
         if self.may_accept(now)
@@ -224,8 +226,8 @@
             Message::Vms(live, leaving) => self.on_vms(&live, &leaving),
             Message::ServerLeaving(server) => self.on_server_leaving(server),
             Message::ServerCrashed(fingerprint, crash) => {
-                if self.on_crash(fingerprint, crash.clone()) != Effect::Known {
-                    self.push_crash(fingerprint, &crash);
+                if self.on_crash(fingerprint, crash) != Effect::Known {
+                    self.push_crashes(fingerprint);
                 }
             }
             Message::Leave(done) => self.on_leave(done),
@@ -316,8 +318,8 @@
                 let at = self.timer.now().before(Duration::from_millis(age_millis.into()));
                 let crash = Crash { server, at, is_repeat };
                 // Only the news that decides is passed on at once: one fault makes many suspects.
-                if self.on_crash(fingerprint, crash.clone()) == Effect::Quarantined {
-                    self.push_crash(fingerprint, &crash);
+                if self.on_crash(fingerprint, crash) == Effect::Quarantined {
+                    self.push_crashes(fingerprint);
                 }
             }
         }
@@ -484,8 +486,8 @@
         effect
     }
 
-    fn push_crash(&mut self, fingerprint: Fingerprint, crash: &Crash) {
-        let news = News::crash(fingerprint, crash, self.timer.now());
+    fn push_crashes(&mut self, fingerprint: Fingerprint) {
+        let news = self.quarantine().news(fingerprint, self.timer.now());
         let actions = self.peer.push_now(news, &mut self.rng);
         self.act(actions);
     }
