--- a/crates/tools/src/explain/explanation.rs
+++ b/crates/tools/src/explain/explanation.rs
@@ -23,8 +23,8 @@
 pub struct Explanation {
     /// The lines of the request, ordered by time.
     pub lines: Vec<Line>,
-    /// State changes that the node recorded before the end of the request, about its servers and in
-    /// general, ordered by time.
+    /// State changes that the node recorded before the end of the request, about its servers, its
+    /// content and in general, ordered by time.
     pub state_changes: Vec<Line>,
     /// The cause of the outcome in one sentence.
     pub cause: String,
@@ -40,6 +40,8 @@
         let end = own.iter().rfind(|it| it.is_any(ENDS)).or(own.last())?.clone();
         let servers: BTreeSet<_> = own.iter().filter_map(|it| it.text("server")).collect();
         let from = seconds(&end.time).map(|it| it - before.as_secs_f64());
+        let content = end.text("fingerprint");
+        let is_crash_of_content = |it: &Line| it.is(CRASH) && it.text("fingerprint") == content;
         let is_state_change = |it: &&Line| {
             let names_server = || {
                 let summary = it.summary();
@@ -48,8 +50,8 @@
             let is_near = from.is_none_or(|from| seconds(&it.time).is_some_and(|at| at >= from));
             it.node == end.node
                 && it.time <= end.time
-                && is_near
-                && (it.is_any(COMMON) || it.is_any(OF_SERVER) && names_server())
+                && (is_near && (it.is_any(COMMON) || it.is_any(OF_SERVER) && names_server())
+                    || content.is_some() && is_crash_of_content(it))
         };
         let mut state_changes: Vec<_> = lines.iter().filter(is_state_change).cloned().collect();
         state_changes.sort_by(|a, b| a.time.cmp(&b.time));
