Keep a crash by its expiry, and let the earliest news of it count

What callers would see: a node that has just started runs a content again that two crashes a second apart hold at the others; a node that was frozen refuses a harmless content, as it reads old packets late and takes one fault for two.

Cause, found in reading: the age in the news of a crash became a time on the receiver's clock, which begins with its process, and each late packet set a crash later than it was.

Change: a crash is kept by the time at which it expires, which no clock is too young for. It is known by server and start, so that a server that starts again under its identity can crash twice, and of several news of it the earliest counts.

--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -3,7 +3,6 @@
 use super::{Mark, Record, State};
 use crate::{
     balance::Sample, config::Stamp, fingerprint::Fingerprint, name::Name, quarantine::Crash,
-    time::Time,
 };
 
 /// A news item, which spreads to every node.
@@ -33,6 +32,8 @@
         fingerprint: Fingerprint,
         /// The name of the server.
         server: Name,
+        /// Distinguishes the starts of the server.
+        born: u64,
         /// The time since the attempt at the server broke, in milliseconds.
         age_millis: u32,
         /// Whether the attempt was sent after an earlier one with the same content had broken.
@@ -44,14 +45,10 @@
 
 impl News {
     /// Creates the news of a crash.
-    pub fn crash(fingerprint: Fingerprint, crash: &Crash, now: Time) -> News {
-        let age = now.since(crash.at).as_millis();
-        News::Crash {
-            fingerprint,
-            server: crash.server.clone(),
-            age_millis: u32::try_from(age).unwrap_or(u32::MAX),
-            is_repeat: crash.is_repeat,
-        }
+    pub fn crash(fingerprint: Fingerprint, crash: Crash) -> News {
+        let Crash { server, born, age, is_repeat } = crash;
+        let age_millis = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        News::Crash { fingerprint, server, born, age_millis, is_repeat }
     }
 
     /// Returns whether the news is pushed at once instead of waiting for the next probes.
@@ -73,9 +70,9 @@
             (News::Config { .. }, News::Config { .. }) => true,
             (News::Leaving { server: new, .. }, News::Leaving { server: old, .. }) => new == old,
             (
-                News::Crash { fingerprint, server, .. },
-                News::Crash { fingerprint: old, server: old_server, .. },
-            ) => (fingerprint, server) == (old, old_server),
+                News::Crash { fingerprint, server, born, .. },
+                News::Crash { fingerprint: old, server: old_server, born: old_born, .. },
+            ) => (fingerprint, server, born) == (old, old_server, old_born),
             _ => self == other,
         }
     }
--- a/crates/core/src/quarantine/detector.rs
+++ b/crates/core/src/quarantine/detector.rs
@@ -1,7 +1,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use super::{Crash, crash::REPEAT_GAP};
-use crate::{fingerprint::Fingerprint, name::Name, time::Time};
+use crate::{directory::Entry, fingerprint::Fingerprint, name::Name, time::Time};
 
 /// How long a lost attempt may be found to be a crash: a server that vanishes is silent for three
 /// heartbeats before the store removes its entry.
@@ -42,6 +42,8 @@
 #[derive(Clone, Debug)]
 struct Lost {
     fingerprint: Fingerprint,
+    /// Distinguishes the starts of the server.
+    born: u64,
     at: Time,
     loss: Loss,
     is_repeat: bool,
@@ -60,7 +62,7 @@
     pub fn on_lost(
         &mut self,
         fingerprint: Fingerprint,
-        server: &Name,
+        server: &Entry,
         loss: Loss,
         is_repeat: bool,
         now: Time,
@@ -68,9 +70,10 @@
         if self.len >= CAPACITY {
             return false;
         }
-        let lost = self.lost.entry(server.clone()).or_default();
+        let lost = self.lost.entry(server.id.clone()).or_default();
         let is_checked = lost.iter().any(|it| !it.is_unreachable);
-        lost.push(Lost { fingerprint, at: now, loss, is_repeat, is_unreachable: false });
+        let born = server.born;
+        lost.push(Lost { fingerprint, born, at: now, loss, is_repeat, is_unreachable: false });
         self.len += 1;
         !is_checked
     }
@@ -98,12 +101,17 @@
     }
 
     /// Records a sign that a server has ended. Returns the crashes that it proves.
-    pub fn on_sign(&mut self, server: &Name, sign: Sign) -> Vec<(Fingerprint, Crash)> {
+    pub fn on_sign(&mut self, server: &Name, sign: Sign, now: Time) -> Vec<(Fingerprint, Crash)> {
         let lost = self.lost.get_mut(server).into_iter().flatten();
         lost.for_each(|it| it.is_unreachable = true);
         let is_proof = |it: &Lost| it.loss == Loss::Broken || sign != Sign::Unreachable;
         let proven = self.take(server, is_proof).into_iter();
-        let crash = |it: Lost| Crash { server: server.clone(), at: it.at, is_repeat: it.is_repeat };
+        let crash = |it: Lost| Crash {
+            server: server.clone(),
+            born: it.born,
+            age: now.since(it.at),
+            is_repeat: it.is_repeat,
+        };
         proven.map(|it| (it.fingerprint, crash(it))).collect()
     }
 
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -13,7 +13,6 @@
 const TTL: Duration = Duration::from_secs(300);
 
 /// Crashes that are farther apart than this are independent: one fault ends its servers together.
-/// Two nodes that saw the same crash report times that differ by less.
 const INDEPENDENT_AFTER: Duration = Duration::from_secs(1);
 
 /// The maximum number of contents in a list.
@@ -63,11 +62,21 @@
 
 #[derive(Clone, Debug, Default)]
 struct Content {
-    crashes: Vec<Crash>,
-    /// When the last run without a crash started. Earlier crashes do not count.
+    crashes: Vec<Known>,
+    /// When a crash would expire that happened as the last run without a crash started. Crashes that
+    /// expire no later do not count.
     cleared: Option<Time>,
 }
 
+/// A crash as it is kept. Its time may lie before the start of this process, its expiry does not.
+#[derive(Clone, Debug)]
+struct Known {
+    server: Name,
+    born: u64,
+    is_repeat: bool,
+    expires: Time,
+}
+
 impl List {
     /// Creates an empty list.
     pub fn new() -> List {
@@ -80,12 +89,12 @@
         let is_new_content = !self.contents.contains_key(&fingerprint);
         let content = self.contents.entry(fingerprint).or_default();
         let was_quarantined = content.is_quarantined(now);
-        let at = crash.at;
-        if !content.record(crash) {
+        let expires = now + TTL.saturating_sub(crash.age);
+        if !content.record(crash, expires) {
             return Effect::Known;
         }
         let is_quarantined = content.is_quarantined(now);
-        self.order.push_back((at, fingerprint));
+        self.order.push_back((expires, fingerprint));
         if is_new_content {
             self.suspect.push_back(fingerprint);
         }
@@ -107,9 +116,10 @@
         if content.is_quarantined(now) {
             return Vec::new();
         }
-        let cleared = content.counted(now).filter(|it| it.at <= started);
+        let limit = started + TTL;
+        let cleared = content.counted(now).filter(|it| it.expires <= limit);
         let cleared = cleared.map(|it| it.server.clone()).collect();
-        content.cleared = content.cleared.max(Some(started));
+        content.cleared = content.cleared.max(Some(limit));
         cleared
     }
 
@@ -127,7 +137,7 @@
     /// Returns whether an attempt that was sent at `sent` repeats one that crashed a server.
     pub fn is_repeat(&self, fingerprint: Fingerprint, sent: Time, now: Time) -> bool {
         let content = self.contents.get(&fingerprint);
-        content.is_some_and(|it| it.counted(now).any(|it| it.at + REPEAT_GAP <= sent))
+        content.is_some_and(|it| it.counted(now).any(|it| it.expires + REPEAT_GAP <= sent + TTL))
     }
 
     /// Returns whether a content is quarantined and must not be run.
@@ -138,7 +148,7 @@
     /// Returns the crashes of a content, for nodes that must learn them at once.
     pub fn news(&self, fingerprint: Fingerprint, now: Time) -> Vec<News> {
         let crashes = self.contents.get(&fingerprint).into_iter().flat_map(|it| it.counted(now));
-        crashes.map(|it| News::crash(fingerprint, it, now)).collect()
+        crashes.map(|it| News::crash(fingerprint, it.crash(now))).collect()
     }
 
     /// Returns the crashes to repeat in the next packet to another node, those of quarantined
@@ -190,10 +200,10 @@
     }
 
     fn expire(&mut self, now: Time) {
-        while self.order.front().is_some_and(|it| now.since(it.0) >= TTL) {
+        while self.order.front().is_some_and(|it| it.0 <= now) {
             let Some((_, fingerprint)) = self.order.pop_front() else { return };
             let Some(content) = self.contents.get_mut(&fingerprint) else { continue };
-            content.crashes.retain(|it| now.since(it.at) < TTL);
+            content.crashes.retain(|it| it.expires > now);
             if content.crashes.is_empty() {
                 self.contents.remove(&fingerprint);
             }
@@ -201,9 +211,9 @@
     }
 
     fn drop_oldest(&mut self) {
-        let Some((at, fingerprint)) = self.order.pop_front() else { return };
+        let Some((expires, fingerprint)) = self.order.pop_front() else { return };
         let content = self.contents.get(&fingerprint);
-        if content.is_some_and(|it| it.crashes.iter().all(|it| it.at <= at)) {
+        if content.is_some_and(|it| it.crashes.iter().all(|it| it.expires <= expires)) {
             self.contents.remove(&fingerprint);
         }
     }
@@ -211,21 +221,24 @@
 
 impl Content {
     /// Adds a crash. Returns whether it is new, or newly known to be a repeat.
-    fn record(&mut self, crash: Crash) -> bool {
-        let is_same = |it: &&mut Crash| it.server == crash.server && !are_apart(it, &crash);
+    fn record(&mut self, crash: Crash, expires: Time) -> bool {
+        let Crash { server, born, is_repeat, .. } = crash;
+        let is_same = |it: &&mut Known| it.server == server && it.born == born;
         if let Some(known) = self.crashes.iter_mut().find(is_same) {
-            let is_news = crash.is_repeat && !known.is_repeat;
-            known.is_repeat |= crash.is_repeat;
+            // News that was held up on its way makes a crash look later than it was.
+            known.expires = known.expires.min(expires);
+            let is_news = is_repeat && !known.is_repeat;
+            known.is_repeat |= is_repeat;
             return is_news;
         }
         if self.crashes.len() >= MAX_CRASHES {
-            let oldest = (0..self.crashes.len()).min_by_key(|it| self.crashes[*it].at);
-            let Some(oldest) = oldest.filter(|it| self.crashes[*it].at < crash.at) else {
+            let oldest = (0..self.crashes.len()).min_by_key(|it| self.crashes[*it].expires);
+            let Some(oldest) = oldest.filter(|it| self.crashes[*it].expires < expires) else {
                 return false;
             };
             self.crashes.remove(oldest);
         }
-        self.crashes.push(crash);
+        self.crashes.push(Known { server, born, is_repeat, expires });
         true
     }
 
@@ -233,21 +246,26 @@
         if self.counted(now).count() < CRASH_THRESHOLD {
             return false;
         }
-        let first = self.counted(now).min_by_key(|it| it.at);
-        let last = self.counted(now).max_by_key(|it| it.at);
-        let are_apart = first.zip(last).is_some_and(|(first, last)| are_apart(first, last));
-        are_apart || self.counted(now).any(|it| it.is_repeat)
+        let first = self.counted(now).map(|it| it.expires).min().unwrap_or_default();
+        let last = self.counted(now).map(|it| it.expires).max().unwrap_or_default();
+        last.since(first) >= INDEPENDENT_AFTER || self.counted(now).any(|it| it.is_repeat)
     }
 
     /// Returns the crashes that count.
-    fn counted(&self, now: Time) -> impl Iterator<Item = &Crash> {
-        self.crashes
-            .iter()
-            .filter(move |it| now.since(it.at) < TTL && self.cleared.is_none_or(|at| it.at > at))
+    fn counted(&self, now: Time) -> impl Iterator<Item = &Known> {
+        let is_counted =
+            move |it: &&Known| it.expires > now && self.cleared.is_none_or(|at| it.expires > at);
+        self.crashes.iter().filter(is_counted)
     }
 }
 
-/// Returns whether two crashes are so far apart that no single fault explains both.
-fn are_apart(one: &Crash, other: &Crash) -> bool {
-    one.at.since(other.at).max(other.at.since(one.at)) >= INDEPENDENT_AFTER
+impl Known {
+    fn crash(&self, now: Time) -> Crash {
+        Crash {
+            server: self.server.clone(),
+            born: self.born,
+            age: TTL.saturating_sub(now.until(self.expires)),
+            is_repeat: self.is_repeat,
+        }
+    }
 }
--- a/crates/core/tests/direct/crash_spread.rs
+++ b/crates/core/tests/direct/crash_spread.rs
@@ -1,9 +1,10 @@
 //! A content that crashes servers comes again and again at any node of a fleet whose nodes restart,
 //! lose packets and are cut off.
 
-use std::collections::BTreeSet;
+use std::{collections::BTreeSet, time::Duration};
 
 use mimosabridge::{
+    directory::Entry,
     fingerprint::Fingerprint,
     member::{Action, Incarnation, News, Packet, Peer, Record},
     name::Name,
@@ -13,7 +14,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use rstest::rstest;
 
-use crate::fixture::{at, record};
+use crate::fixture::{entry, record};
 
 /// How long a node must have run undisturbed for a send to count.
 const STABLE_MILLIS: u64 = 4_000;
@@ -26,7 +27,14 @@
 
 const MINUTE: u64 = 60_000;
 
+const SERVERS: usize = 60;
+
+/// One in this many packets is held up for three seconds.
+const HELD_UP_ONE_IN: u32 = 50;
+
 struct Node {
+    /// When the process started, where its clock begins.
+    started: u64,
     peer: Peer,
     list: List,
     detector: Detector,
@@ -45,6 +53,8 @@
     packets: Vec<(u64, usize, Packet)>,
     /// Until when each server is down.
     servers: Vec<u64>,
+    /// How often each server has started.
+    starts: Vec<u64>,
     crashes: Vec<u64>,
     late_sends: usize,
     loss: f64,
@@ -56,7 +66,7 @@
 }
 
 fn server(number: usize) -> Name {
-    Name::new(format!("i-{number}"))
+    entry(number as u16, "one", "a").id
 }
 
 fn own(number: usize, millis: u64) -> Record {
@@ -65,9 +75,10 @@
 }
 
 fn start(number: usize, millis: u64) -> Node {
-    let mut peer = Peer::new(own(number, millis), Default::default(), at(millis));
+    let mut peer = Peer::new(own(number, millis), Default::default(), Time::ZERO);
     peer.set_seeds((0..3).map(|it| own(it, 0).peer).collect::<BTreeSet<_>>());
     Node {
+        started: millis,
         peer,
         list: List::new(),
         detector: Detector::new(),
@@ -78,12 +89,19 @@
     }
 }
 
+impl Node {
+    fn now(&self, millis: u64) -> Time {
+        Time::from_millis(millis - self.started)
+    }
+}
+
 impl Fleet {
     fn new(nodes: usize, loss: f64, seed: u64) -> Fleet {
         Fleet {
             nodes: (0..nodes).map(|it| start(it, 0)).collect(),
             packets: Vec::new(),
-            servers: vec![0; 60],
+            servers: vec![0; SERVERS],
+            starts: vec![1; SERVERS],
             crashes: Vec::new(),
             late_sends: 0,
             loss,
@@ -126,11 +144,11 @@
     /// Sends the content as a node does: twice, or once if it is suspect.
     fn request(&mut self, number: usize, millis: u64) {
         let node = &self.nodes[number];
-        if node.list.is_quarantined(content(), at(millis)) {
+        if node.list.is_quarantined(content(), node.now(millis)) {
             return;
         }
-        let is_suspect =
-            node.list.is_suspect(content(), at(millis)) || node.detector.is_suspect(content());
+        let is_suspect = node.list.is_suspect(content(), node.now(millis))
+            || node.detector.is_suspect(content());
         for attempt in 0..if is_suspect { 1 } else { 2 } {
             self.send(number, millis + attempt * 3);
         }
@@ -147,10 +165,12 @@
         }
         self.servers[target] = millis + self.rng.random_range(1_000..4_000);
         self.crashes.push(millis);
-        let is_repeat = node.detector.is_repeat(content(), at(millis))
-            || node.list.is_repeat(content(), at(millis), at(millis));
-        let broke = at(millis + 2);
-        if node.detector.on_lost(content(), &server(target), Loss::Broken, is_repeat, broke) {
+        let is_repeat = node.detector.is_repeat(content(), node.now(millis))
+            || node.list.is_repeat(content(), node.now(millis), node.now(millis));
+        let broke = node.now(millis + 2);
+        let entry = Entry { born: self.starts[target], ..entry(target as u16, "one", "a") };
+        self.starts[target] += 1;
+        if node.detector.on_lost(content(), &entry, Loss::Broken, is_repeat, broke) {
             node.checks.push((millis + 102, target));
         }
     }
@@ -160,12 +180,14 @@
         let due: Vec<_> = node.checks.extract_if(.., |it| it.0 <= millis).collect();
         for (_, target) in due {
             if self.servers[target] <= millis {
-                node.detector.on_reached(&server(target), at(millis));
+                node.detector.on_reached(&server(target), node.now(millis));
                 continue;
             }
-            for (fingerprint, crash) in node.detector.on_sign(&server(target), Sign::Refused) {
-                node.list.record_crash(fingerprint, crash, at(millis));
-                let news = node.list.news(fingerprint, at(millis));
+            for (fingerprint, crash) in
+                node.detector.on_sign(&server(target), Sign::Refused, node.now(millis))
+            {
+                node.list.record_crash(fingerprint, crash, node.now(millis));
+                let news = node.list.news(fingerprint, node.now(millis));
                 let actions = node.peer.push_now(news, &mut self.rng);
                 act(&mut self.packets, node, number, actions, self.loss, millis, &mut self.rng);
             }
@@ -173,7 +195,7 @@
         if millis >= node.next_tick {
             node.next_tick = millis + 150;
             node.peer.set_reserve(node.list.news_bytes());
-            let actions = node.peer.tick(at(millis), &mut self.rng);
+            let actions = node.peer.tick(node.now(millis), &mut self.rng);
             act(&mut self.packets, node, number, actions, self.loss, millis, &mut self.rng);
         }
     }
@@ -185,7 +207,7 @@
             if node.cut_until > millis {
                 continue;
             }
-            let actions = node.peer.on_packet(packet, at(millis), &mut self.rng);
+            let actions = node.peer.on_packet(packet, node.now(millis), &mut self.rng);
             act(&mut self.packets, node, number, actions, self.loss, millis, &mut self.rng);
         }
     }
@@ -205,20 +227,24 @@
         match action {
             Action::Send(address, mut packet) => {
                 if packet.is_probe() {
-                    packet.fill(node.list.next_news(at(millis)).into_iter());
+                    packet.fill(node.list.next_news(node.now(millis)).into_iter());
                 }
                 let to = usize::from(address.port() - 1_000);
                 if to != number && node.cut_until <= millis && rng.random::<f64>() >= loss {
-                    packets.push((millis + rng.random_range(1..10), to, *packet));
+                    let is_held_up = rng.random_range(0..HELD_UP_ONE_IN) == 0;
+                    let delay = if is_held_up { 3_000 } else { rng.random_range(1..10) };
+                    packets.push((millis + delay, to, *packet));
                 }
             }
-            Action::Deliver(News::Crash { fingerprint, server, age_millis, is_repeat }, _) => {
-                let now: Time = at(millis);
-                let age = std::time::Duration::from_millis(age_millis.into());
-                let crash = Crash { server, at: now.before(age), is_repeat };
-                let effect = node.list.record_crash(fingerprint, crash, now);
+            Action::Deliver(
+                News::Crash { fingerprint, server, born, age_millis, is_repeat },
+                _,
+            ) => {
+                let age = Duration::from_millis(age_millis.into());
+                let crash = Crash { server, born, age, is_repeat };
+                let effect = node.list.record_crash(fingerprint, crash, node.now(millis));
                 if effect == Effect::Quarantined {
-                    let news = node.list.news(fingerprint, now);
+                    let news = node.list.news(fingerprint, node.now(millis));
                     let actions = node.peer.push_now(news, rng);
                     act(packets, node, number, actions, loss, millis, rng);
                 }
--- a/crates/core/tests/features/membership.rs
+++ b/crates/core/tests/features/membership.rs
@@ -28,7 +28,7 @@
             in_force: true,
         },
         News::Leaving { server: server.clone(), round: 1 },
-        News::Crash { fingerprint, server, age_millis: 300_000, is_repeat: true },
+        News::Crash { fingerprint, server, born: u64::MAX, age_millis: 300_000, is_repeat: true },
     ]
 }
 
@@ -186,7 +186,13 @@
         for content in 0..20_u32 {
             let fingerprint = Fingerprint::new(&Name::from("rule"), &content.to_le_bytes());
             let server = Name::new(format!("server-{number}"));
-            let news = News::Crash { fingerprint, server, age_millis: 300_000, is_repeat: true };
+            let news = News::Crash {
+                fingerprint,
+                server,
+                born: u64::MAX,
+                age_millis: 300_000,
+                is_repeat: true,
+            };
             mesh.announce(number, news);
         }
     }
--- a/crates/core/tests/features/quarantine.rs
+++ b/crates/core/tests/features/quarantine.rs
@@ -18,7 +18,7 @@
 
 /// Returns the first crash of a content.
 fn first(server: &str) -> Crash {
-    Crash { server: Name::from(server), at: NOW, is_repeat: false }
+    Crash { server: Name::from(server), born: 1, age: Duration::ZERO, is_repeat: false }
 }
 
 /// Returns the crash of a server by an attempt that was sent after the first crash.
@@ -30,12 +30,16 @@
     NOW + Duration::from_millis(millis)
 }
 
+fn receive(list: &mut List, news: News, now: Time) {
+    let News::Crash { fingerprint, server, born, age_millis, is_repeat } = news else { return };
+    let age = Duration::from_millis(age_millis.into());
+    list.record_crash(fingerprint, Crash { server, born, age, is_repeat }, now);
+}
+
 /// Passes on what the next packet of a node carries.
 fn pass_on(from: &mut List, to: &mut List, now: Time) {
     for news in from.next_news(now) {
-        let News::Crash { fingerprint, server, age_millis, is_repeat } = news else { continue };
-        let at = now.before(Duration::from_millis(age_millis.into()));
-        to.record_crash(fingerprint, Crash { server, at, is_repeat }, now);
+        receive(to, news, now);
     }
 }
 
@@ -64,7 +68,8 @@
 fn crashes_apart() {
     let mut list = List::new();
     list.record_crash(poison(), first("a"), NOW);
-    let second = Crash { at: later(1_500), ..first("b") };
+    let age = Duration::from_millis(100);
+    let second = Crash { age, ..first("b") };
     assert_eq!(list.record_crash(poison(), second, later(1_600)), Effect::Quarantined);
 }
 
@@ -73,7 +78,7 @@
 fn same_server_twice() {
     let mut list = List::new();
     list.record_crash(poison(), first("a"), NOW);
-    let second = Crash { at: later(4_000), ..repeat("a") };
+    let second = Crash { born: 2, ..repeat("a") };
     assert_eq!(list.record_crash(poison(), second, later(4_000)), Effect::Quarantined);
 }
 
@@ -83,11 +88,9 @@
     list.record_crash(poison(), first("a"), NOW);
     assert!(list.clear(poison(), NOW.before(Duration::from_millis(1)), NOW).is_empty());
     assert_eq!(list.clear(poison(), later(1), later(2)), [Name::from("a")]);
-    let second = Crash { at: later(3), ..repeat("b") };
-    list.record_crash(poison(), second, later(3));
+    list.record_crash(poison(), repeat("b"), later(3));
     assert!(!list.is_quarantined(poison(), later(3)), "the first crash was cleared");
-    let third = Crash { at: later(4), ..repeat("c") };
-    list.record_crash(poison(), third, later(4));
+    list.record_crash(poison(), repeat("c"), later(4));
     list.clear(poison(), later(5), later(6));
     assert!(list.is_quarantined(poison(), later(6)), "a success does not end a quarantine");
 }
@@ -116,6 +119,30 @@
     }
 }
 
+/// A node that has just started learns of crashes that are older than its process.
+#[test]
+fn older_than_process() {
+    let mut list = List::new();
+    list.record_crash(poison(), first("a"), later(100_000));
+    list.record_crash(poison(), first("b"), later(102_000));
+    let news = list.next_news(later(200_000));
+    let (mut started, now) = (List::new(), Time::from_millis(1));
+    news.into_iter().for_each(|it| receive(&mut started, it, now));
+    assert!(started.is_quarantined(poison(), now));
+}
+
+/// News of one fault reaches a frozen node, which reads it late, with ages that are too low.
+#[test]
+fn late_packet() {
+    let (mut list, mut frozen) = (List::new(), List::new());
+    list.record_crash(poison(), first("a"), NOW);
+    let late = list.next_news(NOW);
+    list.record_crash(poison(), first("b"), NOW);
+    late.into_iter().for_each(|it| receive(&mut frozen, it, later(5_000)));
+    pass_on(&mut list, &mut frozen, later(5_100));
+    assert!(!frozen.is_quarantined(poison(), later(5_100)));
+}
+
 /// Suspects of a large fault do not delay what is quarantined.
 #[test]
 fn quarantined_first() {
@@ -136,7 +163,7 @@
     let seconds = |it: u64| later(it * 1_000);
     let mut list = List::new();
     list.record_crash(poison(), first("a"), NOW);
-    list.record_crash(poison(), Crash { at: seconds(200), ..first("b") }, seconds(200));
+    list.record_crash(poison(), first("b"), seconds(200));
     assert!(list.is_quarantined(poison(), seconds(299)));
     assert!(!list.is_quarantined(poison(), seconds(300)));
     assert!(!list.is_empty(), "the second crash still counts");
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -186,7 +186,7 @@
     fn record_loss(&mut self, attempt: &Attempt, loss: Loss) {
         self.has_lost = true;
         let server = &attempt.server;
-        if self.shared.on_lost(self.fingerprint, &server.id, loss, attempt.sent) {
+        if self.shared.on_lost(self.fingerprint, server, loss, attempt.sent) {
             tokio::task::spawn_local(check_server(self.shared.clone(), server.clone()));
         }
     }
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -1,4 +1,5 @@
 use mimosabridge::{
+    directory::Entry,
     fingerprint::Fingerprint,
     name::Name,
     quarantine::{Crash, Effect, Loss, Sign},
@@ -11,10 +12,16 @@
 impl Shared {
     /// Records that an attempt which was sent at `sent` was lost. Returns whether its server must be
     /// checked.
-    pub fn on_lost(&self, fingerprint: Fingerprint, server: &Name, loss: Loss, sent: Time) -> bool {
+    pub fn on_lost(
+        &self,
+        fingerprint: Fingerprint,
+        server: &Entry,
+        loss: Loss,
+        sent: Time,
+    ) -> bool {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        if state.balancer.directory().get(server).is_none_or(|it| it.is_draining) {
+        if state.balancer.directory().get(&server.id).is_none_or(|it| it.is_draining) {
             // A server that leaves ends as planned.
             return false;
         }
@@ -33,7 +40,7 @@
     /// Records a sign that a server has ended, and the crashes that it proves. `source` says who
     /// observed it.
     pub fn on_sign(&self, server: &Name, sign: Sign, source: &str) {
-        let crashes = self.state.borrow_mut().crash_detector.on_sign(server, sign);
+        let crashes = self.state.borrow_mut().crash_detector.on_sign(server, sign, self.now());
         for (fingerprint, crash) in crashes {
             if self.record_crash(fingerprint, crash, source) != Effect::Known {
                 self.state.borrow_mut().unpushed_contents.insert(fingerprint);
@@ -88,7 +95,7 @@
             ("fingerprint", &fingerprint),
             ("server", &crash.server),
             ("source", &source),
-            ("age_millis", &now.since(crash.at).as_millis()),
+            ("age_millis", &crash.age.as_millis()),
             ("repeat", &crash.is_repeat),
             ("quarantined", &quarantine.is_quarantined(fingerprint, now)),
         ]);
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -54,9 +54,9 @@
     pub fn on_news(&self, news: News) {
         match news {
             News::Config { stamp, .. } => self.on_revision(stamp.version),
-            News::Crash { fingerprint, server, age_millis, is_repeat } => {
-                let at = self.shared.now().before(Duration::from_millis(age_millis.into()));
-                self.shared.on_peer_crash(fingerprint, Crash { server, at, is_repeat });
+            News::Crash { fingerprint, server, born, age_millis, is_repeat } => {
+                let age = Duration::from_millis(age_millis.into());
+                self.shared.on_peer_crash(fingerprint, Crash { server, born, age, is_repeat });
             }
             News::Seen(samples) => self.on_report(&samples, "peer"),
             News::Member(_) | News::State(_) | News::Leaving { .. } => {}
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -314,9 +314,9 @@
             News::Member(_) | News::State(_) | News::Seen(_) => {}
             News::Config { stamp, in_force } => self.on_stamp(stamp, in_force, from),
             News::Leaving { server, round } => self.on_leaving(server, round),
-            News::Crash { fingerprint, server, age_millis, is_repeat } => {
-                let at = self.timer.now().before(Duration::from_millis(age_millis.into()));
-                let crash = Crash { server, at, is_repeat };
+            News::Crash { fingerprint, server, born, age_millis, is_repeat } => {
+                let age = Duration::from_millis(age_millis.into());
+                let crash = Crash { server, born, age, is_repeat };
                 // Only the news that decides is passed on at once: one fault makes many suspects.
                 if self.on_crash(fingerprint, crash) == Effect::Quarantined {
                     self.push_crashes(fingerprint);
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -261,7 +261,12 @@
             if matches!(completion.outcome, Outcome::Failed(Failure::Crashed)) {
                 let message = fleet::Message::ServerCrashed(
                     job.call.content,
-                    Crash { server, at: self.parts.timer.now(), is_repeat: job.is_repeat },
+                    Crash {
+                        born: self.boots.get(&server).copied().unwrap_or_default(),
+                        server,
+                        age: Duration::ZERO,
+                        is_repeat: job.is_repeat,
+                    },
                 );
                 let _ = self.parts.fleet.send(message);
             }
