--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -36,7 +36,7 @@
         born: u64,
         /// The time since the attempt at the server broke, in milliseconds.
         age_millis: u32,
-        /// Whether the attempt was sent after an earlier one with the same content had broken.
+        /// Whether the attempt repeats an earlier one with the same content that was lost.
         is_repeat: bool,
     },
     /// Recent observations of backend servers by one node.
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -2,12 +2,14 @@
 //!
 //! Answers a content that comes again and again, at any node, and ends each server that runs it.
 
+mod content;
 mod crash;
 mod detector;
 mod list;
 
 pub use self::{
+    content::CRASH_THRESHOLD,
     crash::Crash,
     detector::{Detector, Loss, Sign},
-    list::{CRASH_THRESHOLD, Effect, List},
+    list::{Effect, List},
 };
--- a/crates/core/src/scatter/end.rs
+++ b/crates/core/src/scatter/end.rs
@@ -1,3 +1,5 @@
+use crate::balance::Observation;
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum End {
@@ -20,6 +22,17 @@
 }
 
 impl End {
+    /// Returns what the end shows about the server.
+    pub(super) fn observation(self) -> Observation {
+        match self {
+            End::Served => Observation::Served,
+            End::Shed => Observation::Shed,
+            End::Failed | End::Broken | End::Invalid => Observation::Failed,
+            End::Misdirected | End::Unsent => Observation::Unreachable,
+            End::Silent => Observation::Silent,
+        }
+    }
+
     /// Returns whether the request provably did not run in this attempt.
     pub fn is_not_run(self) -> bool {
         matches!(self, End::Shed | End::Misdirected | End::Unsent)
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -129,7 +129,7 @@
             return Vec::new();
         };
         self.ends[number] = Some(end);
-        self.record_end(&attempt, end, context);
+        self.record_observation(&attempt, end.observation(), context);
         let shard = &mut self.shards[attempt.shard];
         shard.under_way -= 1;
         if end == End::Unsent {
@@ -360,17 +360,6 @@
         Action::Finish(verdict)
     }
 
-    fn record_end(&self, attempt: &Attempt, end: End, context: &mut Context<'_>) {
-        let observation = match end {
-            End::Served => Observation::Served,
-            End::Shed => Observation::Shed,
-            End::Failed | End::Broken | End::Invalid => Observation::Failed,
-            End::Misdirected | End::Unsent => Observation::Unreachable,
-            End::Silent => Observation::Silent,
-        };
-        self.record_observation(attempt, observation, context);
-    }
-
     fn record_observation(
         &self,
         attempt: &Attempt,
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -2,20 +2,19 @@
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use mimosabridge::{
-    directory::Entry,
     fingerprint::Fingerprint,
     plan::{Plan, Target},
-    quarantine::{Loss, Sign},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
     time::Time,
 };
 
 use super::{
+    evidence,
     incoming::Query,
     respond::{self, Answer},
 };
 use crate::{
-    backend::{Completion, Link, LinkError, Outgoing, Reply, exchange},
+    backend::{Completion, LinkError, Outgoing, Reply, exchange},
     events,
     metrics::label,
     node::Shared,
@@ -25,10 +24,6 @@
 /// time, so that their connection can be reused and the latency of their server is recorded.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long after a broken connection its server is checked: a process that ends closes its
-/// connections and its port one after the other, and takes seconds to start again.
-const CHECK_DELAY: Duration = Duration::from_millis(100);
-
 /// One in this many fast successes is logged.
 const LOG_ONE_IN: u64 = 64;
 
@@ -151,7 +146,8 @@
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref(), error.as_ref());
         }
-        self.record_evidence(&attempt, end, error.as_ref());
+        self.has_lost |= matches!(end, End::Broken | End::Silent);
+        evidence::record(&self.shared, self.fingerprint, &attempt, end, error.as_ref());
         if let Some(reply) = reply {
             self.replies.insert(attempt.number, reply);
         }
@@ -166,31 +162,6 @@
         end == End::Served && known.any(|it| it == signature)
     }
 
-    /// Records what the end of an attempt tells about crashes of its server.
-    fn record_evidence(&mut self, attempt: &Attempt, end: End, error: Option<&LinkError>) {
-        let server = &attempt.server.id;
-        match end {
-            End::Broken => self.record_loss(attempt, Loss::Broken),
-            End::Silent => self.record_loss(attempt, Loss::Silent),
-            End::Misdirected => self.shared.on_sign(server, Sign::Replaced, "own attempt"),
-            End::Unsent => {
-                let Some(sign) = error.and_then(LinkError::sign) else { return };
-                self.shared.on_sign(server, sign, "own attempt");
-            }
-            End::Served | End::Failed | End::Shed | End::Invalid => {
-                self.shared.on_reached(server, attempt.sent);
-            }
-        }
-    }
-
-    fn record_loss(&mut self, attempt: &Attempt, loss: Loss) {
-        self.has_lost = true;
-        let server = &attempt.server;
-        if self.shared.on_lost(self.fingerprint, server, loss, attempt.sent) {
-            tokio::task::spawn_local(check_server(self.shared.clone(), server.clone()));
-        }
-    }
-
     fn answer(&mut self, verdict: Verdict) -> Answer {
         let latency = self.shared.now().since(self.started_at);
         self.log_verdict(&verdict, latency);
@@ -303,23 +274,6 @@
     }
 }
 
-/// Opens a connection to a server that did not answer, to find out whether it has crashed: the
-/// requests to come may avoid it until it runs again. The connection is kept for them.
-async fn check_server(shared: Rc<Shared>, server: Arc<Entry>) {
-    tokio::time::sleep(CHECK_DELAY).await;
-    let now = shared.now();
-    match Link::open(server.address, now).await {
-        Ok(link) => {
-            shared.on_reached(&server.id, now);
-            shared.pool.keep(&server.id, link, now).await;
-        }
-        Err(error) => {
-            let Some(sign) = error.sign() else { return };
-            shared.on_sign(&server.id, sign, "check");
-        }
-    }
-}
-
 impl Drop for Execution {
     fn drop(&mut self) {
         if self.is_answered {
--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -2,6 +2,7 @@
 
 mod accept;
 mod drive;
+mod evidence;
 mod incoming;
 mod respond;
 mod serve;
