Accept sub-requests of entries that do not name repeats

A gate of this version refused each call of an entry of an earlier one, as the new field of a sub-request was required: callers would see partial answers while a fleet is updated. Found in reading; the field defaults to false. Entries and gates of both versions were not run side by side.

Measured: all tests of the node pass.

--- a/crates/core/src/wire/sub_request.rs
+++ b/crates/core/src/wire/sub_request.rs
@@ -11,6 +11,8 @@
     pub server: Name,
     /// The shard to search.
     pub shard: Name,
-    /// Whether the attempt is made after a server has crashed with the content of the call.
+    /// Whether the attempt is made after a server has crashed with the content of the call. Entries of
+    /// earlier versions do not say it.
+    #[serde(default)]
     pub is_repeat: bool,
 }
