Let the number of suspect contents fall

The metric was set when a crash was recorded and kept its value when crashes expired, so that an alarm on it never ended. The node's tick drops expired crashes and sets it. Found in reading; the tests of the library and the direct node pass.

--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -151,6 +151,18 @@
         if self.is_empty() { 0 } else { NEWS_BYTES }
     }
 
+    /// Drops the crashes that no longer count.
+    pub fn expire(&mut self, now: Time) {
+        while self.order.front().is_some_and(|it| it.0 <= now) {
+            let Some((_, fingerprint)) = self.order.pop_front() else { return };
+            let Some(content) = self.contents.get_mut(&fingerprint) else { continue };
+            content.crashes.retain(|it| it.expires > now);
+            if content.crashes.is_empty() {
+                self.contents.remove(&fingerprint);
+            }
+        }
+    }
+
     /// Returns the number of contents with at least one crash.
     pub fn len(&self) -> usize {
         self.contents.len()
@@ -171,17 +183,6 @@
         }
     }
 
-    fn expire(&mut self, now: Time) {
-        while self.order.front().is_some_and(|it| it.0 <= now) {
-            let Some((_, fingerprint)) = self.order.pop_front() else { return };
-            let Some(content) = self.contents.get_mut(&fingerprint) else { continue };
-            content.crashes.retain(|it| it.expires > now);
-            if content.crashes.is_empty() {
-                self.contents.remove(&fingerprint);
-            }
-        }
-    }
-
     fn drop_oldest(&mut self) {
         let Some((expires, fingerprint)) = self.order.pop_front() else { return };
         let content = self.contents.get(&fingerprint);
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -72,9 +72,12 @@
         }
     }
 
-    /// Drops lost attempts that were not found to be crashes in time.
+    /// Drops lost attempts that were not found to be crashes in time, and crashes that no longer
+    /// count.
     pub fn expire_evidence(&self, now: Time) {
         let state = &mut *self.state.borrow_mut();
+        state.quarantine.expire(now);
+        self.metrics.suspect_contents.set(state.quarantine.len() as i64);
         let directory = state.balancer.directory();
         let is_leaving = |it: &Name| directory.get(it).is_some_and(|it| it.is_draining);
         for (fingerprint, server) in state.crash_detector.expire(is_leaving, now) {
@@ -90,7 +93,6 @@
             return effect;
         }
         self.metrics.on_crash(source);
-        self.metrics.suspect_contents.set(quarantine.len() as i64);
         events::CRASH.emit(&[
             ("fingerprint", &fingerprint),
             ("server", &crash.server),
