--- a/crates/core/src/quarantine/content.rs
+++ b/crates/core/src/quarantine/content.rs
@@ -19,8 +19,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Content {
     pub crashes: Vec<Known>,
-    /// When a crash would expire that happened as the last run without a crash started. Crashes that
-    /// expire no later do not count.
+    /// When a crash would expire that happened as the last run without a crash started. Crashes
+    /// that expire no later do not count.
     pub cleared: Option<Time>,
 }
 
--- a/crates/core/src/quarantine/crash.rs
+++ b/crates/core/src/quarantine/crash.rs
@@ -16,7 +16,7 @@
     /// How long ago the attempt at the server broke. A crash may be older than the process that
     /// learns of it.
     pub age: Duration,
-    /// Whether the attempt repeats an earlier one with the same content that was lost. Attempts that
-    /// were under way together may have been ended by one fault.
+    /// Whether the attempt repeats an earlier one with the same content that was lost. Attempts
+    /// that were under way together may have been ended by one fault.
     pub is_repeat: bool,
 }
--- a/crates/core/src/quarantine/mod.rs
+++ b/crates/core/src/quarantine/mod.rs
@@ -1,6 +1,8 @@
 //! Quarantine for requests whose content crashes backend servers.
 //!
-//! Answers a content that comes again and again, at any node, and ends each server that runs it.
+//! The load pattern: a content comes again and again, at any node, and ends each server that runs it.
+//! A [`Detector`] finds out which lost attempts were crashes; a [`List`] keeps them for all contents
+//! and says what other nodes must be told.
 
 mod content;
 mod crash;
