Derive what the evidence of crashes kept twice

Found in the last reading of the change; behaviour stays as it is. Whether a request lost an attempt is derived from the ends that its run keeps, and the log takes the same answer to whether a request was served whole as the clearing of a suspect. The list of crashes looks up the crashes that count in one place. An arm of News::replaces is gone: crashes are no longer queued, so nothing reached it outside of tests.

--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -69,10 +69,6 @@
             (News::State(new), News::State(old)) => new.key == old.key,
             (News::Config { .. }, News::Config { .. }) => true,
             (News::Leaving { server: new, .. }, News::Leaving { server: old, .. }) => new == old,
-            (
-                News::Crash { fingerprint, server, born, .. },
-                News::Crash { fingerprint: old, server: old_server, born: old_born, .. },
-            ) => (fingerprint, server, born) == (old, old_server, old_born),
             _ => self == other,
         }
     }
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Crash,
-    content::{Content, TTL},
+    content::{Content, Known, TTL},
     crash::REPEAT_GAP,
 };
 use crate::{fingerprint::Fingerprint, member::News, name::Name, time::Time};
@@ -97,19 +97,17 @@
 
     /// Returns the servers that crashed while they were running a content.
     pub fn crashed_servers(&self, fingerprint: Fingerprint, now: Time) -> Vec<Name> {
-        let crashes = self.contents.get(&fingerprint).into_iter().flat_map(|it| it.counted(now));
-        crashes.map(|it| it.server.clone()).collect()
+        self.counted(fingerprint, now).map(|it| it.server.clone()).collect()
     }
 
     /// Returns whether a content has crashed a server.
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Time) -> bool {
-        self.contents.get(&fingerprint).is_some_and(|it| it.counted(now).next().is_some())
+        self.counted(fingerprint, now).next().is_some()
     }
 
     /// Returns whether an attempt that was sent at `sent` repeats one that crashed a server.
     pub fn is_repeat(&self, fingerprint: Fingerprint, sent: Time, now: Time) -> bool {
-        let content = self.contents.get(&fingerprint);
-        content.is_some_and(|it| it.counted(now).any(|it| it.expires + REPEAT_GAP <= sent + TTL))
+        self.counted(fingerprint, now).any(|it| it.expires + REPEAT_GAP <= sent + TTL)
     }
 
     /// Returns whether a content is quarantined and must not be run.
@@ -119,7 +117,7 @@
 
     /// Returns the crashes of a content, for nodes that must learn them at once.
     pub fn news(&self, fingerprint: Fingerprint, now: Time) -> Vec<News> {
-        let crashes = self.contents.get(&fingerprint).into_iter().flat_map(|it| it.counted(now));
+        let crashes = self.counted(fingerprint, now);
         crashes.map(|it| News::crash(fingerprint, it.crash(now))).collect()
     }
 
@@ -173,6 +171,11 @@
         self.contents.is_empty()
     }
 
+    /// Returns the crashes of a content that count.
+    fn counted(&self, fingerprint: Fingerprint, now: Time) -> impl Iterator<Item = &Known> {
+        self.contents.get(&fingerprint).into_iter().flat_map(move |it| it.counted(now))
+    }
+
     /// Adds the crashes of a content to the news, and puts the content last in its turn.
     fn repeat(&mut self, fingerprint: Fingerprint, news: &mut Vec<News>, now: Time) {
         let Some(content) = self.contents.get(&fingerprint) else { return };
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -98,6 +98,11 @@
         self.ends.get(number).copied().flatten()
     }
 
+    /// Returns whether an attempt was lost, so that its server may have crashed.
+    pub fn has_lost(&self) -> bool {
+        self.ends.iter().flatten().any(|it| matches!(it, End::Broken | End::Silent))
+    }
+
     /// Starts the run: sends the request, or refuses it at once if it cannot be served.
     ///
     /// Shards that cannot answer within the objective are left out if enough others can: their
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -40,8 +40,6 @@
     started_at: Time,
     attempts: FuturesUnordered<LocalBoxFuture<'static, Ended>>,
     replies: HashMap<usize, Reply>,
-    /// Whether an attempt was lost, so that its server may have crashed.
-    has_lost: bool,
     is_answered: bool,
 }
 
@@ -65,7 +63,6 @@
         started_at,
         attempts: FuturesUnordered::new(),
         replies: HashMap::new(),
-        has_lost: false,
         is_answered: false,
     };
     let verdict = execution.execute().await;
@@ -146,7 +143,6 @@
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref(), error.as_ref());
         }
-        self.has_lost |= matches!(end, End::Broken | End::Silent);
         evidence::record(&self.shared, self.fingerprint, &attempt, end, error.as_ref());
         if let Some(reply) = reply {
             self.replies.insert(attempt.number, reply);
@@ -165,7 +161,7 @@
     fn answer(&mut self, verdict: Verdict) -> Answer {
         let latency = self.shared.now().since(self.started_at);
         self.log_verdict(&verdict, latency);
-        if !self.has_lost && self.is_served_whole(&verdict) {
+        if !self.run.has_lost() && self.is_served_whole(&verdict) {
             self.shared.clear_suspect(self.fingerprint, self.started_at);
         }
         match verdict {
@@ -200,11 +196,8 @@
 
     fn log_verdict(&self, verdict: &Verdict, latency: Duration) {
         let (event, outcome) = match verdict {
-            Verdict::Pass(number) if self.run.end(*number) == Some(End::Served) => {
-                (events::SERVED, "served")
-            }
+            _ if self.is_served_whole(verdict) => (events::SERVED, "served"),
             Verdict::Pass(_) => (events::FAILED, "server_failure"),
-            Verdict::Merge { missing: 0, .. } => (events::SERVED, "served"),
             Verdict::Merge { missing, .. } => {
                 self.shared.metrics.missing_shards.inc_by(*missing as u64);
                 (events::PARTIAL, "partial")
