--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -12,6 +12,7 @@
 mod crash_spread;
 mod final_answer;
 mod lapsed_entries;
+mod late_news;
 mod load_patterns;
 mod merged_records;
 mod mirror_updates;
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -104,3 +104,15 @@
     assert!(again <= due + Duration::from_millis(300), "a peer is asked again at once");
     assert_eq!(lag.due(10), None);
 }
+
+/// Guards against a watch that hangs on a store that answers again: nodes noticed after 9.9 s that
+/// the store had forgotten their watches.
+#[test]
+fn forgotten_watch() {
+    let mut reader = Reader::new(at(0));
+    reader.on_list(at(1));
+    let Step::Watch { wait, .. } = reader.step(7, next_step(&reader, 1)) else {
+        panic!("no watch")
+    };
+    assert!(wait <= Duration::from_secs(2), "a watch of {wait:?} outlives the store for too long");
+}
