Ask a peer early for urgent changes, and announce them until they are heard

A data centre whose reader hangs served an old configuration for 0.9 s longer than the others, 3.2 s in sum.

Cause: a node that saw a peer ahead waited for 0.9 s whatever it lacked, asked a random peer that may have had nothing new, and had heard of it by chance, through three random nodes or the next probes. Ruled out: a shorter wait for all changes (each added server would be fetched from other data centres by every reader in its pause).

Change: nodes say in each packet up to where they know urgent changes: a version, a removed or draining server, a closed data centre. A reader asks 0.3 s after it hears of one that it lacks, a follower 0.6 s, and the node that is ahead. Who learns an urgent change from the store pings the first two nodes of each data centre, up to four times, until they acknowledge it. The adapter no longer decides how long an answer to a watch may take.

Before: three cases of late_news::one_watch_forgotten fail (known after 1.5 to 1.94 s, bound 1.5 s).

The test shared_reports::fullest_report_fits fills the field that these nodes send now; older nodes can't read the packets.

--- a/crates/core/src/feed/lag.rs
+++ b/crates/core/src/feed/lag.rs
@@ -1,21 +1,33 @@
 use std::time::Duration;
 
+use super::Progress;
 use crate::time::Time;
 
 /// How long a peer may be ahead of this node before this node suspects that its own watch is stuck.
 /// Changes are batched into one answer, and nodes receive them at different times.
 const ALLOWED_LAG: Duration = Duration::from_millis(900);
 
+/// How long a peer may know urgent changes before a node that reads the store asks the peer. The
+/// store answers a watch within a fifth of a second, even when it is slow.
+const READER_PATIENCE: Duration = Duration::from_millis(300);
+
+/// The same for a node that follows a reader, which may have to ask a peer first.
+const FOLLOWER_PATIENCE: Duration = Duration::from_millis(600);
+
 /// The pause after a peer was asked and had nothing new.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// Tracks whether a peer knows later facts than this node, and when to ask a peer for them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
-    /// The latest revision that any peer knows.
-    peer_revision: u64,
-    /// When to ask a peer, if one is ahead.
-    due: Time,
+    /// What all peers know together.
+    peers: Progress,
+    /// Since when a peer is ahead.
+    behind_since: Time,
+    /// Since when a peer knows urgent changes that this node lacks.
+    urgent_since: Time,
+    /// No peer is asked before.
+    not_before: Time,
 }
 
 impl Lag {
@@ -24,23 +36,40 @@
         Lag::default()
     }
 
-    /// Records that a peer knows everything that was published up to a revision, and this node
-    /// everything up to `known`.
-    pub fn on_peer_revision(&mut self, revision: u64, known: u64, now: Time) {
-        if self.peer_revision <= known && revision > known {
-            self.due = now + ALLOWED_LAG;
+    /// Records the progress of a peer, while this node's own progress is `known`. Returns whether
+    /// the peer is ahead.
+    pub fn on_peer(&mut self, peer: Progress, known: &Progress, now: Time) -> bool {
+        if peer.is_ahead_of(known) && !self.peers.is_ahead_of(known) {
+            self.behind_since = now;
         }
-        self.peer_revision = self.peer_revision.max(revision);
+        if peer.is_urgent_for(known) && !self.peers.is_urgent_for(known) {
+            self.urgent_since = now;
+        }
+        self.peers = self.peers.merge(peer);
+        peer.is_ahead_of(known)
     }
 
-    /// Returns when to ask a peer, if one is ahead of this node, which knows everything up to
-    /// `known`.
-    pub fn due(&self, known: u64) -> Option<Time> {
-        (self.peer_revision > known).then_some(self.due)
+    /// Records that this node reads the store now, so that a peer need not be asked until the store
+    /// had time to answer.
+    pub fn on_read(&mut self, now: Time) {
+        self.not_before = now + READER_PATIENCE;
+    }
+
+    /// Returns when to ask a peer, if one is ahead of this node, whose progress is `known`.
+    pub fn due(&self, known: &Progress, is_follower: bool) -> Option<Time> {
+        if !self.peers.is_ahead_of(known) {
+            return None;
+        }
+        let patience = if is_follower { FOLLOWER_PATIENCE } else { READER_PATIENCE };
+        let mut due = self.behind_since + ALLOWED_LAG;
+        if self.peers.is_urgent_for(known) {
+            due = due.min(self.urgent_since + patience);
+        }
+        Some(due.max(self.not_before))
     }
 
     /// Records that a peer was asked and had nothing new.
     pub fn on_nothing_new(&mut self, now: Time) {
-        self.due = now + RETRY_PAUSE;
+        self.not_before = now + RETRY_PAUSE;
     }
 }
--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Fact, Snapshot, Update, log::Log};
+use super::{Fact, Progress, Snapshot, Update, log::Log};
 use crate::{
     balance::Balancer,
     directory::{Change, Directory, Entry},
@@ -13,6 +13,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
     revision: u64,
+    /// The revision of the latest urgent change.
+    urgent: u64,
     spec: Option<Spec>,
     plan: Option<Arc<Plan>>,
     closed: BTreeSet<Name>,
@@ -30,6 +32,16 @@
     Closed(Vec<Name>),
 }
 
+impl Event {
+    /// Returns whether the change must be in force on all nodes within seconds.
+    fn is_urgent(&self) -> bool {
+        match self {
+            Event::Plan(_) | Event::Closed(_) => true,
+            Event::Server(change) => matches!(change, Change::Removed(_) | Change::Draining(_)),
+        }
+    }
+}
+
 impl Mirror {
     /// Creates an empty mirror.
     pub fn new() -> Mirror {
@@ -41,6 +53,11 @@
         self.revision
     }
 
+    /// Returns up to where this node knows the published facts.
+    pub fn progress(&self) -> Progress {
+        Progress { revision: self.revision, urgent: self.urgent }
+    }
+
     /// Returns the configuration in force.
     pub fn plan(&self) -> Option<&Arc<Plan>> {
         self.plan.as_ref()
@@ -125,6 +142,7 @@
         if snapshot.revision < self.revision {
             return Vec::new();
         }
+        let is_first = self.revision == 0;
         self.revision = snapshot.revision;
         self.log.clear();
         let mut events = Vec::new();
@@ -147,6 +165,9 @@
         let mut changes = replace(directory, entries);
         changes.extend(lapsed.iter().filter_map(|it| directory.lapse(it, now)));
         events.extend(notify(changes, balancer, now));
+        if !is_first {
+            self.note_urgent(&events);
+        }
         events
     }
 
@@ -196,9 +217,17 @@
             self.log.push(after, Snapshot { revision: self.revision, facts });
         }
         events.extend(self.set_closed(closed, balancer));
+        self.note_urgent(&events);
         events
     }
 
+    /// Records whether there are urgent changes among those that were applied up to the revision.
+    fn note_urgent(&mut self, events: &[Event]) {
+        if events.iter().any(Event::is_urgent) {
+            self.urgent = self.revision;
+        }
+    }
+
     /// Applies a version of the configuration, unless the same or a later one is in force.
     fn apply_plan(&mut self, spec: Spec) -> Option<Event> {
         let version = spec.version;
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -6,6 +6,7 @@
 mod lag;
 mod log;
 mod mirror;
+mod progress;
 mod reader;
 mod selector;
 
@@ -13,6 +14,7 @@
     fact::{Fact, Snapshot, Update},
     lag::Lag,
     mirror::{Event, Mirror},
-    reader::{Reader, Step},
+    progress::Progress,
+    reader::{ANSWER_TIMEOUT, Reader, Step},
     selector::{Selector, Upstream},
 };
--- a/crates/core/src/feed/reader.rs
+++ b/crates/core/src/feed/reader.rs
@@ -11,6 +11,10 @@
 /// end of the wait shows it.
 const WATCH_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How long the store may take to answer a watch, in addition to its wait. The store answers within
+/// milliseconds, or within a fifth of a second when it is slow.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(800);
+
 /// How long a watch waits while the store counts as unavailable. The wait is short because only its
 /// answer shows that the store has recovered.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -7,6 +7,7 @@
 
 mod action;
 mod detector;
+mod herald;
 mod mark;
 mod nearby;
 mod news;
--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -1,7 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{News, Record};
-use crate::config::Stamp;
+use crate::{config::Stamp, feed::Progress};
 
 /// The largest size of an encoded packet.
 pub const MAX_PACKET_BYTES: usize = 448;
@@ -15,6 +15,8 @@
     pub kind: Kind,
     /// The configuration that the sender has in force.
     pub config: Option<Stamp>,
+    /// Up to where the sender knows the published facts, if it follows them.
+    pub progress: Option<Progress>,
     /// The time since the sender, or any node that it receives packets from, last read the
     /// platform, in tenths of a second. It is rounded up, so that it never shrinks from node to
     /// node.
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -8,9 +8,9 @@
 
 use super::{
     Action, Detector, Incarnation, Kind, Mark, News, Outbox, Packet, Record, Roster, Settings,
-    State, detector::Probe, roster::Effect,
+    State, detector::Probe, herald::Herald, roster::Effect,
 };
-use crate::{config::Stamp, time::Time};
+use crate::{config::Stamp, feed::Progress, time::Time};
 
 /// The unit of [`Packet::platform_age`].
 const PLATFORM_AGE_UNIT: Duration = Duration::from_millis(100);
@@ -25,10 +25,12 @@
     settings: Settings,
     own: Record,
     roster: Roster,
-    detector: Detector,
+    pub(super) detector: Detector,
+    pub(super) herald: Herald,
     outbox: Outbox,
     seeds: BTreeSet<SocketAddr>,
     config: Option<Stamp>,
+    progress: Option<Progress>,
     relays: Vec<Relay>,
     next_round: Time,
     last_received: Option<Time>,
@@ -63,9 +65,11 @@
             own,
             roster,
             detector: Detector::new(),
+            herald: Herald::new(),
             outbox,
             seeds: BTreeSet::new(),
             config: None,
+            progress: None,
             relays: Vec::new(),
             next_round: now,
             last_received: None,
@@ -104,6 +108,11 @@
         self.config = Some(stamp);
     }
 
+    /// Records up to where this node knows the published facts.
+    pub fn set_progress(&mut self, progress: Progress) {
+        self.progress = Some(progress);
+    }
+
     /// Records that this node has read the platform.
     pub fn on_platform_read(&mut self, now: Time) {
         self.last_platform_read = now;
@@ -201,6 +210,7 @@
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Action> {
         self.now = now;
         let mut actions = self.request_indirect_probes(now, rng);
+        actions.extend(self.repeat_announcements(now));
         if now < self.next_round {
             return actions;
         }
@@ -225,6 +235,9 @@
         if let Some(stamp) = packet.config.filter(|it| Some(*it) != self.config) {
             actions.push(Action::Deliver(News::Config { stamp, in_force: true }, packet.from.rpc));
         }
+        if let Some(progress) = packet.progress.filter(|it| Some(*it) != self.progress) {
+            actions.push(Action::Progress(progress, packet.from.rpc));
+        }
         actions
     }
 
@@ -314,7 +327,7 @@
     }
 
     fn on_ack(&mut self, number: u32) -> Option<Action> {
-        if self.detector.on_ack(number) {
+        if self.detector.on_ack(number) || self.herald.on_ack(number) {
             return None;
         }
         let index = self.relays.iter().position(|it| it.number == number)?;
@@ -483,6 +496,7 @@
             from: self.own.clone(),
             kind,
             config: self.config,
+            progress: self.progress,
             platform_age,
             roster: self.roster.digest(),
             news: Vec::new(),
--- a/crates/core/tests/direct/crash_spread.rs
+++ b/crates/core/tests/direct/crash_spread.rs
@@ -253,7 +253,7 @@
                 let actions = node.peer.send_roster(address);
                 act(packets, node, number, actions, loss, millis, rng);
             }
-            Action::Changed | Action::Deliver(..) => {}
+            Action::Changed | Action::Deliver(..) | Action::Progress(..) => {}
         }
     }
 }
--- a/crates/core/tests/direct/late_news.rs
+++ b/crates/core/tests/direct/late_news.rs
@@ -3,9 +3,8 @@
 use std::{ops::Range, time::Duration};
 
 use mimosabridge::{
-    config::{Digest, Stamp},
-    feed::{Lag, Reader, Step},
-    member::{Action, News, Packet, Peer},
+    feed::{ANSWER_TIMEOUT, Lag, Progress, Reader, Step},
+    member::{Action, Packet, Peer},
     time::Time,
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -28,9 +27,6 @@
 /// How long a call to a peer of another data centre takes, in milliseconds.
 const CALL_MILLIS: u64 = 30;
 
-/// The time beyond its wait after which an unanswered read is given up.
-const READ_TIMEOUT: Duration = Duration::from_millis(1_200);
-
 const DATA_CENTRES: [&str; 4] = ["a", "b", "c", "d"];
 
 struct Node {
@@ -42,6 +38,8 @@
     read: Option<Read>,
     /// When the pending call to a peer ends, and which peer it asks.
     call: Option<(u64, usize)>,
+    /// The peer that was last heard of being ahead.
+    ahead: Option<usize>,
     next_tick: u64,
     next_poll: u64,
 }
@@ -74,8 +72,8 @@
     Time::from_millis(millis)
 }
 
-fn stamp(revision: u64) -> Stamp {
-    Stamp { version: revision, digest: Digest::from_u128(0) }
+fn progress(revision: u64) -> Progress {
+    Progress { revision, urgent: revision }
 }
 
 impl Fleet {
@@ -96,6 +94,7 @@
                 known: 0,
                 read: None,
                 call: None,
+                ahead: None,
                 next_tick: number as u64 * 7 % 150,
                 next_poll: 0,
             }
@@ -151,12 +150,13 @@
                 Step::List => (0, Duration::ZERO, true),
                 Step::Watch { after, wait } => (after, wait, false),
             };
-            let until = millis + (wait + READ_TIMEOUT).as_millis() as u64;
+            let until = millis + (wait + ANSWER_TIMEOUT).as_millis() as u64;
+            node.lag.on_read(at(millis));
             node.read = Some(Read { sent: millis, after, until, is_list, is_forgotten: is_out });
             return;
         };
         read.is_forgotten |= is_out;
-        let wait_ends = read.until - READ_TIMEOUT.as_millis() as u64;
+        let wait_ends = read.until - ANSWER_TIMEOUT.as_millis() as u64;
         let has_answer = read.is_list || revision > read.after || millis >= wait_ends;
         if !read.is_forgotten && has_answer && millis >= read.sent + 4 {
             match read.is_list {
@@ -167,8 +167,7 @@
             if revision > node.known {
                 self.learn(number, revision, millis);
                 let node = &mut self.nodes[number];
-                let news = News::Config { stamp: stamp(revision), in_force: true };
-                let actions = node.peer.announce(news, &mut self.rng);
+                let actions = node.peer.announce_progress(at(millis));
                 self.act(number, actions, millis);
             }
         } else if millis >= read.until {
@@ -181,7 +180,7 @@
         let node = &mut self.nodes[number];
         if revision > node.known {
             node.known = revision;
-            node.peer.set_config(stamp(revision));
+            node.peer.set_progress(progress(revision));
             node.read.take_if(|it| !it.is_list && it.after < revision);
         }
     }
@@ -204,11 +203,13 @@
             }
             None => {
                 let is_unavailable = node.reader.is_store_unavailable();
-                let is_behind = node.lag.due(node.known);
-                let is_due = is_behind.is_some_and(|it| is_unavailable || at(millis) >= it);
+                let is_follower = !number.is_multiple_of(self.per_data_centre);
+                let due = node.lag.due(&progress(node.known), is_follower);
+                let is_due = due.is_some_and(|it| is_unavailable || at(millis) >= it);
                 if is_due || (is_unavailable && millis >= node.next_poll) {
                     node.next_poll = millis + 600;
-                    node.call = Some((millis + CALL_MILLIS, other));
+                    let asked = node.ahead.take().unwrap_or(other);
+                    node.call = Some((millis + CALL_MILLIS, asked));
                 }
             }
         }
@@ -242,9 +243,12 @@
                         self.packets.push((millis + STEP, to, *packet));
                     }
                 }
-                Action::Deliver(News::Config { stamp, .. }, _) => {
+                Action::Progress(peer, rpc) => {
+                    let sender = self.nodes.iter().position(|it| it.peer.own().rpc == rpc);
                     let node = &mut self.nodes[number];
-                    node.lag.on_peer_revision(stamp.version, node.known, at(millis));
+                    if node.lag.on_peer(peer, &progress(node.known), at(millis)) {
+                        node.ahead = sender;
+                    }
                 }
                 Action::Deliver(..) | Action::Changed | Action::Sync(_) => {}
             }
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -3,12 +3,16 @@
 use std::time::Duration;
 
 use mimosabridge::{
-    feed::{Lag, Reader, Step},
+    feed::{Lag, Progress, Reader, Step},
     time::Time,
 };
 
 use crate::fixture::at;
 
+fn progress(revision: u64, urgent: u64) -> Progress {
+    Progress { revision, urgent }
+}
+
 /// Returns when the reader takes its next step, which must be within a second: a version must be in
 /// force everywhere within 3 s.
 fn next_step(reader: &Reader, millis: u64) -> Time {
@@ -89,20 +93,40 @@
 #[test]
 fn repeated_catch_up() {
     let mut lag = Lag::new();
-    lag.on_peer_revision(7, 7, at(0));
-    assert_eq!(lag.due(7), None);
-    lag.on_peer_revision(9, 7, at(100));
-    let due = lag.due(7).expect("a peer is ahead");
+    let known = progress(7, 0);
+    assert!(!lag.on_peer(progress(7, 0), &known, at(0)));
+    assert_eq!(lag.due(&known, false), None);
+    assert!(lag.on_peer(progress(9, 0), &known, at(100)));
+    let due = lag.due(&known, false).expect("a peer is ahead");
     assert!(
         due > at(800) && due <= at(1_100),
         "the node's own watch gets time to deliver the change"
     );
-    lag.on_peer_revision(10, 7, at(900));
-    assert_eq!(lag.due(7), Some(due), "further changes must not extend the wait");
+    lag.on_peer(progress(10, 0), &known, at(900));
+    assert_eq!(lag.due(&known, false), Some(due), "further changes must not extend the wait");
     lag.on_nothing_new(due);
-    let again = lag.due(7).expect("a peer is still ahead");
+    let again = lag.due(&known, false).expect("a peer is still ahead");
     assert!(again <= due + Duration::from_millis(300), "a peer is asked again at once");
-    assert_eq!(lag.due(10), None);
+    assert_eq!(lag.due(&progress(10, 0), false), None);
+}
+
+/// Guards against urgent changes that wait as long as others: a data centre whose reader hung asked
+/// a peer 0.9 s after it had heard of a version.
+#[test]
+fn urgent_asked_early() {
+    let mut lag = Lag::new();
+    let known = progress(7, 5);
+    lag.on_peer(progress(8, 5), &known, at(0));
+    lag.on_peer(progress(9, 9), &known, at(200));
+    let due = lag.due(&known, false).expect("a peer is ahead");
+    assert!(due <= at(500), "a reader asks at once");
+    let follower = lag.due(&known, true).expect("a peer is ahead");
+    assert!(due < follower && follower <= at(800), "its reader is asked first");
+    lag.on_read(at(400));
+    let due = lag.due(&known, false).expect("a peer is ahead");
+    assert!(due > at(400), "the store gets time to answer");
+    assert!(due <= at(700), "it is asked soon");
+    assert!(lag.due(&progress(9, 0), false).is_none());
 }
 
 /// Guards against a watch that hangs on a store that answers again: nodes noticed after 9.9 s that
--- a/crates/core/tests/features/mesh/mod.rs
+++ b/crates/core/tests/features/mesh/mod.rs
@@ -202,7 +202,7 @@
                         self.send(to, bytes, delay);
                     }
                 }
-                Action::Changed => {}
+                Action::Changed | Action::Progress(..) => {}
                 Action::Deliver(news, _) => self.on_delivered(from, news),
                 Action::Sync(other) => self.sync(from, other),
             }
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -21,7 +21,7 @@
     }
     loop {
         tokio::select! {
-            _ = exchange.wait_until_behind() => {
+            () = exchange.wait_until_behind() => {
                 if !fetch_from_peer(shared, exchange).await {
                     tokio::time::sleep(POLL_INTERVAL).await;
                 }
@@ -37,20 +37,17 @@
 /// stuck, and an update was fetched from one of them.
 pub async fn when_behind(shared: &Shared, exchange: &Exchange) {
     loop {
-        let due = exchange.wait_until_behind().await;
-        tokio::time::sleep_until(shared.clock.instant(due)).await;
-        if exchange.is_behind() {
-            if fetch_from_peer(shared, exchange).await {
-                return;
-            }
-            exchange.on_nothing_new();
+        exchange.wait_until_due().await;
+        if fetch_from_peer(shared, exchange).await {
+            return;
         }
+        exchange.on_nothing_new();
     }
 }
 
-/// Fetches the published facts from a random peer. Returns whether it had an update.
+/// Fetches the published facts from a peer. Returns whether it had an update.
 async fn fetch_from_peer(shared: &Shared, exchange: &Exchange) -> bool {
-    let Some(address) = exchange.random_peer() else { return false };
+    let Some(address) = exchange.peer_to_ask() else { return false };
     let revision = shared.state.borrow().mirror.revision();
     let question = Question { revision, is_away: false, wait_millis: 0 };
     let reply = match fetch(address, question).await {
--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -1,4 +1,7 @@
-use mimosabridge::feed::{Reader, Snapshot, Step};
+use mimosabridge::{
+    balance::Balancer,
+    feed::{ANSWER_TIMEOUT, Event, Mirror, Reader, Snapshot, Step},
+};
 
 use super::{Source, SourceError, catch_up};
 use crate::{events, node::Shared, peers::Exchange};
@@ -31,8 +34,9 @@
         }
         Step::Watch { after, wait } => {
             shared.metrics.store_calls.inc();
+            exchange.on_read();
             tokio::select! {
-                result = (source.watch)(after, wait) => {
+                result = (source.watch)(after, wait, ANSWER_TIMEOUT) => {
                     on_watch(shared, exchange, reader, after, result);
                 }
                 // A connection may have been lost while this process was paused.
@@ -58,11 +62,9 @@
     match result {
         Ok(snapshot) => {
             on_answer(shared, exchange, reader);
-            let changes = {
-                let state = &mut *shared.state.borrow_mut();
-                state.mirror.replace(snapshot, &mut state.balancer, shared.now())
-            };
-            shared.on_changes(&changes, "store");
+            apply(shared, exchange, |mirror, balancer| {
+                mirror.replace(snapshot, balancer, shared.now())
+            });
             reader.on_list(shared.now());
         }
         Err(error) => on_failure(shared, reader, &error),
@@ -79,14 +81,9 @@
     match result {
         Ok(delta) => {
             on_answer(shared, exchange, reader);
-            let changes = {
-                let state = &mut *shared.state.borrow_mut();
-                state.mirror.extend(after, delta, &mut state.balancer, shared.now())
-            };
-            shared.on_changes(&changes, "store");
-            if !changes.is_empty() {
-                exchange.announce_revision();
-            }
+            apply(shared, exchange, |mirror, balancer| {
+                mirror.extend(after, delta, balancer, shared.now())
+            });
             reader.on_watch(shared.now());
         }
         Err(SourceError::HistoryExpired) => reader.on_history_expired(shared.now()),
@@ -94,6 +91,24 @@
     }
 }
 
+/// Applies an answer of the store to the mirror, and announces urgent changes to other nodes.
+fn apply(
+    shared: &Shared,
+    exchange: &Exchange,
+    update: impl FnOnce(&mut Mirror, &mut Balancer) -> Vec<Event>,
+) {
+    let (changes, is_urgent) = {
+        let state = &mut *shared.state.borrow_mut();
+        let before = state.mirror.progress();
+        let changes = update(&mut state.mirror, &mut state.balancer);
+        (changes, state.mirror.progress().is_urgent_for(&before))
+    };
+    shared.on_changes(&changes, "store");
+    if is_urgent {
+        exchange.announce_progress();
+    }
+}
+
 fn on_answer(shared: &Shared, exchange: &Exchange, reader: &Reader) {
     exchange.on_contact(std::time::Duration::ZERO);
     let now = shared.now();
--- a/crates/direct/src/feed/source.rs
+++ b/crates/direct/src/feed/source.rs
@@ -11,8 +11,9 @@
 pub struct Source {
     /// Reads all published facts.
     pub list: Box<dyn Fn() -> Read>,
-    /// Waits up to a duration for facts that are published after a revision.
-    pub watch: Box<dyn Fn(u64, Duration) -> Read>,
+    /// Waits up to a duration for facts that are published after a revision. The read fails if the
+    /// store takes longer for its answer than the second duration beyond that.
+    pub watch: Box<dyn Fn(u64, Duration, Duration) -> Read>,
 }
 
 /// The error of a read of the store.
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -7,9 +7,8 @@
 };
 
 use mimosabridge::{
-    config::{Digest, Stamp},
-    feed::{Lag, Selector, Upstream},
-    member::{Action, News, Packet, Peer, Record, SizeEstimator, State},
+    feed::{Lag, Progress, Selector, Upstream},
+    member::{Action, Packet, Peer, Record, SizeEstimator, State},
     name::Name,
     time::Time,
 };
@@ -54,6 +53,10 @@
     pub(super) lag: RefCell<Lag>,
     pub(super) selector: RefCell<Selector>,
     pub(super) peer_ahead: Notify,
+    /// Where the node takes calls that was last heard of being ahead of this one.
+    pub(super) ahead: Cell<Option<SocketAddr>>,
+    /// Whether this node follows a reader.
+    is_follower: Cell<bool>,
     pub(super) waiting: RefCell<Waitlist>,
     pub(super) next_report: Cell<Time>,
     pub(super) size_estimator: SizeEstimator,
@@ -81,6 +84,8 @@
         lag: RefCell::new(Lag::new()),
         selector: RefCell::new(Selector::new()),
         peer_ahead: Notify::new(),
+        ahead: Cell::new(None),
+        is_follower: Cell::new(false),
         waiting: RefCell::new(Waitlist::new()),
         next_report: Cell::new(now),
         size_estimator: SizeEstimator::new(now),
@@ -107,7 +112,9 @@
     pub fn upstream(&self) -> Upstream {
         let peer = self.inner.peer.borrow();
         let now = self.inner.shared.now();
-        self.inner.selector.borrow_mut().upstream(peer.roster(), peer.own(), now)
+        let upstream = self.inner.selector.borrow_mut().upstream(peer.roster(), peer.own(), now);
+        self.inner.is_follower.set(matches!(upstream, Upstream::Peer(_)));
+        upstream
     }
 
     /// Records that the reader that this node follows answered, and whether the store is
@@ -124,21 +131,28 @@
     /// Publishes the current revision to peers and answers questions that wait for it. To be called
     /// after the mirror may have changed.
     pub fn on_updated(&self) {
-        self.inner.peer.borrow_mut().set_config(stamp(self.inner.revision()));
+        self.inner.peer.borrow_mut().set_progress(self.inner.progress());
         self.inner.answer_waiting();
     }
 
-    /// Announces a new revision to some nodes at once.
-    pub fn announce_revision(&self) {
+    /// Announces to the first nodes of each data centre that this node knows urgent changes.
+    pub fn announce_progress(&self) {
         self.on_updated();
-        let news = News::Config { stamp: stamp(self.inner.revision()), in_force: true };
-        let rng = &mut *self.inner.rng.borrow_mut();
-        let actions = self.inner.peer.borrow_mut().announce(news, rng);
+        let actions = self.inner.peer.borrow_mut().announce_progress(self.inner.shared.now());
         self.inner.act(actions);
     }
 
-    /// Returns the RPC address of a random live node.
-    pub fn random_peer(&self) -> Option<SocketAddr> {
+    /// Records that this node reads the store now.
+    pub fn on_read(&self) {
+        self.inner.lag.borrow_mut().on_read(self.inner.shared.now());
+    }
+
+    /// Returns the RPC address of the node that was last heard of being ahead of this one, or of a
+    /// random live node if that one was asked already.
+    pub fn peer_to_ask(&self) -> Option<SocketAddr> {
+        if let Some(ahead) = self.inner.ahead.take() {
+            return Some(ahead);
+        }
         let peer = self.inner.peer.borrow();
         let own = &peer.own().name;
         let others = peer.roster().records();
@@ -146,21 +160,32 @@
         others.map(|it| it.rpc).choose(&mut *self.inner.rng.borrow_mut())
     }
 
-    /// Waits until a peer has a newer revision than this node. Returns when to ask one.
-    pub async fn wait_until_behind(&self) -> Time {
+    /// Waits until a peer is ahead of this node.
+    pub async fn wait_until_behind(&self) {
         loop {
             let notified = self.inner.peer_ahead.notified();
-            let known = self.inner.revision();
-            if let Some(due) = self.inner.lag.borrow().due(known) {
-                return due;
+            if self.inner.ask_due().is_some() {
+                return;
             }
             notified.await;
         }
     }
 
-    /// Returns whether a peer still has a newer revision than this node.
-    pub fn is_behind(&self) -> bool {
-        self.inner.lag.borrow().due(self.inner.revision()).is_some()
+    /// Waits until a peer has been ahead of this node for so long that one should be asked.
+    pub async fn wait_until_due(&self) {
+        loop {
+            self.wait_until_behind().await;
+            let notified = self.inner.peer_ahead.notified();
+            let Some(due) = self.inner.ask_due() else { continue };
+            if due <= self.inner.shared.now() {
+                return;
+            }
+            tokio::select! {
+                () = tokio::time::sleep_until(self.inner.shared.clock.instant(due)) => {}
+                // What peers know may have become urgent.
+                () = notified => {}
+            }
+        }
     }
 
     /// Records that a peer was asked and had nothing new.
@@ -235,9 +260,24 @@
         self.update_node_count(tick.now);
     }
 
-    /// Returns the revision up to which this node has the published facts.
-    pub(super) fn revision(&self) -> u64 {
-        self.shared.state.borrow().mirror.revision()
+    /// Returns up to where this node knows the published facts.
+    fn progress(&self) -> Progress {
+        self.shared.state.borrow().mirror.progress()
+    }
+
+    /// Returns when to ask a peer, if one is ahead of this node.
+    fn ask_due(&self) -> Option<Time> {
+        self.lag.borrow().due(&self.progress(), self.is_follower.get())
+    }
+
+    /// Handles the progress of another node, which takes calls at an address.
+    fn on_progress(&self, progress: Progress, rpc: SocketAddr) {
+        let known = self.progress();
+        let now = self.shared.now();
+        if self.lag.borrow_mut().on_peer(progress, &known, now) {
+            self.ahead.set(Some(rpc));
+            self.peer_ahead.notify_waiters();
+        }
     }
 
     /// Updates the estimated number of nodes that share the servers.
@@ -268,6 +308,7 @@
                 }
                 Action::Changed => {}
                 Action::Deliver(news, _) => self.on_news(news),
+                Action::Progress(progress, rpc) => self.on_progress(progress, rpc),
                 Action::Sync(address) => {
                     let packets = self.peer.borrow().send_roster(address);
                     self.act(packets);
@@ -308,8 +349,3 @@
         }
     }
 }
-
-fn stamp(revision: u64) -> Stamp {
-    // The revision of the store alone identifies the published facts.
-    Stamp { version: revision, digest: Digest::from_u128(0) }
-}
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -53,21 +53,12 @@
     /// Handles news from another node.
     pub fn on_news(&self, news: News) {
         match news {
-            News::Config { stamp, .. } => self.on_revision(stamp.version),
             News::Crash { fingerprint, server, born, age_millis, is_repeat } => {
                 let age = Duration::from_millis(age_millis.into());
                 self.shared.on_peer_crash(fingerprint, Crash { server, born, age, is_repeat });
             }
             News::Seen(samples) => self.on_report(&samples, "peer"),
-            News::Member(_) | News::State(_) | News::Leaving { .. } => {}
-        }
-    }
-
-    fn on_revision(&self, revision: u64) {
-        let known = self.revision();
-        self.lag.borrow_mut().on_peer_revision(revision, known, self.shared.now());
-        if revision > known {
-            self.peer_ahead.notify_waiters();
+            News::Config { .. } | News::Member(_) | News::State(_) | News::Leaving { .. } => {}
         }
     }
 }
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -138,7 +138,7 @@
             let snapshot = published.borrow().clone();
             Box::pin(async move { Ok(snapshot) })
         }),
-        watch: Box::new(move |after, _| {
+        watch: Box::new(move |after, _, _| {
             let published = watched.clone();
             watches.set(watches.get() + 1);
             Box::pin(async move {
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -251,6 +251,8 @@
                 Action::Changed => changed = true,
                 Action::Deliver(news, from) => self.on_news(news, from),
                 Action::Sync(address) => self.sync(address),
+                // Nodes with gates do not follow the facts of direct nodes.
+                Action::Progress(..) => {}
             }
         }
         self.is_changed |= changed;
