--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -45,6 +45,8 @@
     windows: HashMap<Name, Window>,
     splits: HashMap<Name, Vec<f64>>,
     closed: HashSet<Name>,
+    /// Servers that must get no requests although their entries allow it, with their start.
+    retired: HashMap<Name, u64>,
     rng: SmallRng,
 }
 
@@ -61,6 +63,7 @@
             windows: HashMap::new(),
             splits: HashMap::new(),
             closed: HashSet::new(),
+            retired: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -95,6 +98,17 @@
         &self.closed
     }
 
+    /// Sets the servers that must get no requests although their entries allow it, with the start
+    /// that this holds for.
+    pub fn set_retired(&mut self, retired: HashMap<Name, u64>) {
+        self.retired = retired;
+    }
+
+    /// Returns whether requests may be sent to a server.
+    pub fn is_usable(&self, id: &Name) -> bool {
+        self.directory.get(id).is_some_and(|it| self.may_receive(it))
+    }
+
     /// Records a change of the directory.
     pub fn on_change(&mut self, change: &Change, now: Time) {
         match change {
@@ -295,8 +309,12 @@
     }
 
     fn candidates(&self, service: &Name) -> impl Iterator<Item = &Arc<Entry>> {
-        let is_open = |it: &&Arc<Entry>| !it.is_draining && !self.closed.contains(&it.data_centre);
-        self.directory.by_service(service).filter(is_open)
+        self.directory.by_service(service).filter(|it| self.may_receive(it))
+    }
+
+    fn may_receive(&self, entry: &Entry) -> bool {
+        let is_retired = self.retired.get(&entry.id) == Some(&entry.born);
+        !entry.is_draining && !is_retired && !self.closed.contains(&entry.data_centre)
     }
 
     /// Returns how many connections this node may have to one server of a service.
--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -4,7 +4,7 @@
     time::Duration,
 };
 
-use super::{Change, Entry};
+use super::{Change, Entry, removed::Removed};
 use crate::{name::Name, time::Time};
 
 /// How long a lapsed entry may take to reappear once the store is available again. The platform
@@ -18,6 +18,7 @@
     services: HashMap<Name, Vec<Name>>,
     /// Servers whose entries lapsed and may still reappear.
     lapsed: HashSet<Name>,
+    removed: Removed,
     is_store_unavailable: bool,
     /// When the store last recovered.
     available_since: Option<Time>,
@@ -50,6 +51,14 @@
         self.lapsed.iter()
     }
 
+    /// Returns the servers that must not be used, whatever an older copy of the store says: those
+    /// that have announced their stop, and those whose entries were removed. Each comes with its
+    /// start.
+    pub fn retired(&self) -> impl Iterator<Item = (&Name, u64)> {
+        let draining = self.entries.values().filter(|it| it.is_draining);
+        draining.map(|it| (&it.id, it.born)).chain(self.removed.iter())
+    }
+
     /// Returns the number of servers.
     pub fn len(&self) -> usize {
         self.entries.len()
@@ -78,6 +87,13 @@
         }
     }
 
+    /// Records that the store came back from an older copy. Entries that the copy lacks get time to
+    /// reappear.
+    pub fn on_store_restored(&mut self, now: Time) {
+        self.is_store_unavailable = false;
+        self.available_since = Some(now);
+    }
+
     /// Replaces all entries with the full list of the store. Returns the changes.
     pub fn replace(&mut self, entries: Vec<Entry>, now: Time) -> Vec<Change> {
         self.apply_list(entries, |directory, id| directory.on_removed(id, now))
@@ -93,6 +109,7 @@
     pub fn set(&mut self, entry: Entry) -> Option<Change> {
         let id = entry.id.clone();
         let was_lapsed = self.lapsed.remove(&id);
+        self.removed.remove(&id);
         let old = self.entries.insert(id.clone(), Arc::new(entry));
         let new = &self.entries[&id];
         let change = match &old {
@@ -171,6 +188,7 @@
     fn discard(&mut self, id: Name) -> Change {
         self.lapsed.remove(&id);
         if let Some(entry) = self.entries.remove(&id) {
+            self.removed.insert(id.clone(), entry.born);
             self.remove_from_service(&entry.service, &id);
         }
         Change::Removed(id)
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -8,5 +8,6 @@
 #[allow(clippy::module_inception)]
 mod directory;
 mod entry;
+mod removed;
 
 pub use self::{change::Change, directory::Directory, entry::Entry};
--- a/crates/core/src/feed/fact.rs
+++ b/crates/core/src/feed/fact.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use super::Position;
 use crate::{directory::Entry, name::Name, plan::Spec};
 
 /// One published fact.
@@ -20,11 +21,11 @@
     Opened(Name),
 }
 
-/// The facts that hold at a revision of the store or, in a delta, those published up to it.
+/// The facts that hold at a position of the store or, in a delta, those published up to it.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Snapshot {
-    /// The revision of the store.
-    pub revision: u64,
+    /// The position of the store.
+    pub position: Position,
     /// The facts.
     pub facts: Vec<Fact>,
 }
@@ -34,6 +35,6 @@
 pub enum Update {
     /// All facts.
     All(Snapshot),
-    /// The facts that were published after the revision that the peer knows.
+    /// The facts that were published after the position that the peer knows.
     Since(Snapshot),
 }
--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -1,6 +1,6 @@
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Fact, Progress, Snapshot, Update, log::Log};
+use super::{Fact, Hold, Position, Progress, Snapshot, Update, holds::Holds, log::Log};
 use crate::{
     balance::Balancer,
     directory::{Change, Directory, Entry},
@@ -12,12 +12,16 @@
 /// A local mirror of the published facts. The directory of the balancer holds the servers.
 #[derive(Clone, Debug, Default)]
 pub struct Mirror {
-    revision: u64,
-    /// The revision of the latest urgent change.
-    urgent: u64,
+    pub(super) position: Position,
+    /// The position of the latest urgent change.
+    urgent: Position,
     spec: Option<Spec>,
+    /// The era of the store in which the configuration was published.
+    spec_era: u64,
     plan: Option<Arc<Plan>>,
-    closed: BTreeSet<Name>,
+    /// The data centres that the store states as closed.
+    pub(super) closed: BTreeSet<Name>,
+    pub(super) holds: Holds,
     log: Log,
 }
 
@@ -30,14 +34,23 @@
     Server(Change),
     /// The set of data centres that must not receive requests changed.
     Closed(Vec<Name>),
+    /// The store came back from an older copy, and has begun an era.
+    Restored(u64),
+    /// A restriction is kept although the restored store does not state it.
+    Held(Hold),
+    /// The time of a kept restriction is over.
+    HoldEnded(Hold),
+    /// Facts of an earlier position than the known one were ignored.
+    Ignored(Position),
 }
 
 impl Event {
     /// Returns whether the change must be in force on all nodes within seconds.
     fn is_urgent(&self) -> bool {
         match self {
-            Event::Plan(_) | Event::Closed(_) => true,
+            Event::Plan(_) | Event::Closed(_) | Event::Restored(_) | Event::Held(_) => true,
             Event::Server(change) => matches!(change, Change::Removed(_) | Change::Draining(_)),
+            Event::HoldEnded(_) | Event::Ignored(_) => false,
         }
     }
 }
@@ -48,14 +61,15 @@
         Mirror::default()
     }
 
-    /// Returns the revision of the store up to which this node knows everything.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Returns the position of the store up to which this node knows everything.
+    pub fn position(&self) -> Position {
+        self.position
     }
 
     /// Returns up to where this node knows the published facts.
     pub fn progress(&self) -> Progress {
-        Progress { revision: self.revision, urgent: self.urgent }
+        let version = self.plan.as_ref().map_or(0, |it| it.version());
+        Progress { position: self.position, urgent: self.urgent, version }
     }
 
     /// Returns the configuration in force.
@@ -63,28 +77,37 @@
         self.plan.as_ref()
     }
 
-    /// Returns all known facts, for a peer.
+    /// Returns all known facts, for a peer. What the store does not state is left out, except for
+    /// the configuration.
     pub fn snapshot(&self, balancer: &Balancer) -> Snapshot {
         let plan = self.spec.iter().cloned().map(Fact::Plan);
         let closed = self.closed.iter().cloned().map(Fact::Closed);
         let servers = balancer.directory().entries().map(|it| Fact::Server((**it).clone()));
         let lapsed = balancer.directory().lapsed().cloned().map(Fact::Lapsed);
         let facts = plan.chain(closed).chain(servers).chain(lapsed).collect();
-        Snapshot { revision: self.revision, facts }
+        Snapshot { position: self.position, facts }
     }
 
-    /// Returns what a peer lacks that knows everything up to a revision, or `None` if it knows as
-    /// much as this node.
-    pub fn update_since(&self, revision: u64, balancer: &Balancer) -> Option<Update> {
-        if revision >= self.revision {
-            return None;
-        }
-        let delta = self.log.since(revision).map(Update::Since);
-        Some(delta.unwrap_or_else(|| Update::All(self.snapshot(balancer))))
+    /// Returns what a peer lacks whose progress is `known`, or `None` if it knows as much as this
+    /// node.
+    pub fn update_since(&self, known: &Progress, balancer: &Balancer) -> Option<Update> {
+        let is_same_era = known.position.era == self.position.era;
+        let mut delta = if known.position >= self.position {
+            Snapshot { position: known.position, facts: Vec::new() }
+        } else if let Some(delta) = self.log.since(known.position).filter(|_| is_same_era) {
+            delta
+        } else {
+            return Some(Update::All(self.snapshot(balancer)));
+        };
+        let has_plan = delta.facts.iter().any(|it| matches!(it, Fact::Plan(_)));
+        let spec = self.spec.iter().filter(|it| it.version > known.version && !has_plan);
+        delta.facts.extend(spec.cloned().map(Fact::Plan));
+        let has_news = delta.position > known.position || !delta.facts.is_empty();
+        has_news.then_some(Update::Since(delta))
     }
 
-    /// Replaces everything with a snapshot of the store. A snapshot that is older than the mirror
-    /// is ignored.
+    /// Replaces everything with a snapshot of the store. Of a snapshot that is older than the
+    /// mirror, only a later configuration is used.
     pub fn replace(
         &mut self,
         snapshot: Snapshot,
@@ -95,12 +118,12 @@
         self.apply_snapshot(snapshot, replace, balancer, now)
     }
 
-    /// Applies the changes of the store after a revision. If a peer has sent later changes
-    /// meanwhile, the delta would undo some of them and is ignored; what it holds beyond them must
-    /// be requested again.
+    /// Applies the changes of the store after a position of the same era. If a peer has sent later
+    /// changes meanwhile, the delta would undo some of them and is ignored; what it holds beyond
+    /// them must be requested again.
     pub fn extend(
         &mut self,
-        after: u64,
+        after: Position,
         delta: Snapshot,
         balancer: &mut Balancer,
         now: Time,
@@ -108,12 +131,12 @@
         self.apply_delta(after, delta, classify, balancer, now)
     }
 
-    /// Applies the update of a peer to this node, which knew everything up to a revision when it
+    /// Applies the update of a peer to this node, which knew everything up to a position when it
     /// asked. The peer has decided which servers are gone and which entries lapsed; this node may
     /// have been unable to read the store meanwhile, and can't decide that itself.
     pub fn apply(
         &mut self,
-        after: u64,
+        after: Position,
         update: Update,
         balancer: &mut Balancer,
         now: Time,
@@ -122,14 +145,27 @@
             Update::All(snapshot) => {
                 self.apply_snapshot(snapshot, Directory::replace_from_peer, balancer, now)
             }
-            Update::Since(delta) => self.apply_delta(after, delta, |_, it, _| it, balancer, now),
+            Update::Since(delta) => {
+                let mut events = Vec::new();
+                // A configuration counts by its version, whatever this node has learned meanwhile.
+                for fact in &delta.facts {
+                    if let Fact::Plan(spec) = fact {
+                        events.extend(self.apply_plan(spec.clone(), after.era));
+                    }
+                }
+                events.extend(self.apply_delta(after, delta, |_, it, _| it, balancer, now));
+                events
+            }
         }
     }
 
-    /// Removes the servers whose lapsed entries did not reappear in time.
+    /// Removes the servers whose lapsed entries did not reappear in time, and ends the restrictions
+    /// whose time is over.
     pub fn tick(&mut self, balancer: &mut Balancer, now: Time) -> Vec<Event> {
         let changes = balancer.directory_mut().tick(now);
-        notify(changes, balancer, now)
+        let mut events = notify(changes, balancer, now);
+        events.extend(self.expire_holds(balancer, now));
+        events
     }
 
     fn apply_snapshot(
@@ -139,19 +175,15 @@
         balancer: &mut Balancer,
         now: Time,
     ) -> Vec<Event> {
-        if snapshot.revision < self.revision {
-            return Vec::new();
-        }
-        let is_first = self.revision == 0;
-        self.revision = snapshot.revision;
-        self.log.clear();
+        let Snapshot { position, facts } = snapshot;
+        let is_first = self.position.is_start();
         let mut events = Vec::new();
         let mut entries = Vec::new();
         let mut lapsed = Vec::new();
         let mut closed = BTreeSet::new();
-        for fact in snapshot.facts {
+        for fact in facts {
             match fact {
-                Fact::Plan(spec) => events.extend(self.apply_plan(spec)),
+                Fact::Plan(spec) => events.extend(self.apply_plan(spec, position.era)),
                 Fact::Server(entry) => entries.push(entry),
                 Fact::Closed(data_centre) => {
                     closed.insert(data_centre);
@@ -160,6 +192,15 @@
                 Fact::Gone(_) | Fact::Opened(_) => {}
             }
         }
+        if position < self.position {
+            events.push(Event::Ignored(position));
+            return events;
+        }
+        if position.era > self.position.era && !is_first {
+            events.extend(self.restore(position.era, &closed, &mut entries, balancer, now));
+        }
+        self.position = position;
+        self.log.clear();
         events.extend(self.set_closed(closed, balancer));
         let directory = balancer.directory_mut();
         let mut changes = replace(directory, entries);
@@ -173,16 +214,16 @@
 
     fn apply_delta(
         &mut self,
-        after: u64,
+        after: Position,
         delta: Snapshot,
         classify: impl Fn(&Directory, Fact, Time) -> Fact,
         balancer: &mut Balancer,
         now: Time,
     ) -> Vec<Event> {
-        if self.revision > after {
+        if self.position > after || delta.position.era != after.era {
             return Vec::new();
         }
-        self.revision = delta.revision.max(after);
+        self.position = delta.position.max(after);
         let mut events = Vec::new();
         let mut closed = self.closed.clone();
         let mut facts = Vec::with_capacity(delta.facts.len());
@@ -191,7 +232,7 @@
             facts.push(fact.clone());
             let change = match fact {
                 Fact::Plan(spec) => {
-                    events.extend(self.apply_plan(spec));
+                    events.extend(self.apply_plan(spec, after.era));
                     None
                 }
                 Fact::Server(entry) => {
@@ -208,44 +249,47 @@
                 }
                 Fact::Opened(data_centre) => {
                     closed.remove(&data_centre);
+                    self.holds.release(&Hold::Closed(data_centre));
                     None
                 }
             };
             events.extend(notify(change, balancer, now));
         }
-        if self.revision > after {
-            self.log.push(after, Snapshot { revision: self.revision, facts });
+        if self.position > after {
+            self.log.push(after, Snapshot { position: self.position, facts });
         }
         events.extend(self.set_closed(closed, balancer));
         self.note_urgent(&events);
         events
     }
 
-    /// Records whether there are urgent changes among those that were applied up to the revision.
+    /// Records whether there are urgent changes among those that were applied up to the position.
     fn note_urgent(&mut self, events: &[Event]) {
         if events.iter().any(Event::is_urgent) {
-            self.urgent = self.revision;
+            self.urgent = self.position;
         }
     }
 
-    /// Applies a version of the configuration, unless the same or a later one is in force.
-    fn apply_plan(&mut self, spec: Spec) -> Option<Event> {
+    /// Applies a version of the configuration that was published in an era, unless the same or a
+    /// later one is in force. A version that is given out again replaces the one of an earlier era.
+    fn apply_plan(&mut self, spec: Spec, era: u64) -> Option<Event> {
         let version = spec.version;
-        if self.plan.as_ref().is_some_and(|it| it.version() >= version) {
+        let is_later = self.spec.as_ref().is_none_or(|it| {
+            let is_again = version == it.version && era > self.spec_era && spec != *it;
+            version > it.version || is_again
+        });
+        if !is_later {
             return None;
         }
         self.plan = Some(Arc::new(Plan::new(spec.clone())));
         self.spec = Some(spec);
+        self.spec_era = era;
         Some(Event::Plan(version))
     }
 
     fn set_closed(&mut self, closed: BTreeSet<Name>, balancer: &mut Balancer) -> Option<Event> {
-        if closed == self.closed {
-            return None;
-        }
         self.closed = closed;
-        balancer.set_closed(self.closed.iter().cloned().collect());
-        Some(Event::Closed(self.closed.iter().cloned().collect()))
+        self.apply_closed(balancer)
     }
 }
 
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -3,17 +3,23 @@
 //! this node.
 
 mod fact;
+mod hold;
+mod holds;
 mod lag;
 mod log;
 mod mirror;
+mod position;
 mod progress;
 mod reader;
+mod restore;
 mod selector;
 
 pub use self::{
     fact::{Fact, Snapshot, Update},
+    hold::Hold,
     lag::Lag,
     mirror::{Event, Mirror},
+    position::Position,
     progress::Progress,
     reader::{ANSWER_TIMEOUT, Reader, Step},
     selector::{Selector, Upstream},
--- a/crates/core/src/feed/reader.rs
+++ b/crates/core/src/feed/reader.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::Position;
 use crate::time::Time;
 
 /// The minimum time between an answer and the next watch. Each call to the store is billed: changes
@@ -33,10 +34,10 @@
 pub enum Step {
     /// List everything.
     List,
-    /// Watch for changes after a revision.
+    /// Watch for changes after a position.
     Watch {
-        /// The revision.
-        after: u64,
+        /// The position.
+        after: Position,
         /// How long to wait.
         wait: Duration,
     },
@@ -60,13 +61,13 @@
         Reader { is_history_expired: false, failures: 0, next_read: now, last_contact: now }
     }
 
-    /// Returns the next step. `known` is the revision up to which this node knows everything, from
-    /// the store or from a peer; zero if it knows nothing.
-    pub fn step(&self, known: u64, now: Time) -> Step {
+    /// Returns the next step. `known` is the position up to which this node knows everything, from
+    /// the store or from a peer.
+    pub fn step(&self, known: Position, now: Time) -> Step {
         if now < self.next_read {
             return Step::Pause(self.next_read);
         }
-        if known == 0 || self.is_history_expired {
+        if known.is_start() || self.is_history_expired {
             return Step::List;
         }
         let wait = if self.is_store_unavailable() { PROBE_TIMEOUT } else { WATCH_TIMEOUT };
@@ -86,6 +87,17 @@
         self.next_read = now + WATCH_INTERVAL;
     }
 
+    /// Records that the changes with which the store answered a watch, up to `answered`, do not
+    /// continue those up to `after`. The store has begun a new era or lost changes, so that a new
+    /// list is needed; an answer from an earlier era counts as a failed read.
+    pub fn on_discontinued(&mut self, after: Position, answered: Position, now: Time) {
+        if answered.era < after.era {
+            self.on_failure(1.0, now);
+        } else {
+            self.on_history_expired(now);
+        }
+    }
+
     /// Records that the store no longer holds the changes since the known revision, so that a new
     /// list is needed.
     pub fn on_history_expired(&mut self, now: Time) {
--- /dev/null
+++ b/crates/core/src/feed/restore.rs
@@ -0,0 +1,108 @@
+//! What the mirror keeps when the store comes back from an older copy.
+//!
+//! The copy lacks what was acknowledged after it was made. Until its authors have written that again,
+//! what it says is older than what nodes know. A configuration counts by its version, a server by its
+//! start, and what forbids requests is kept for a while: breaking it would be worse than a server
+//! too few.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use super::{Event, Hold, Mirror};
+use crate::{balance::Balancer, directory::Entry, member::News, name::Name, time::Time};
+
+impl Mirror {
+    /// Prepares the mirror for the list of a store that has begun an era: keeps the restrictions that
+    /// the list lacks, and replaces entries of earlier starts of servers.
+    pub(super) fn restore(
+        &mut self,
+        era: u64,
+        closed: &BTreeSet<Name>,
+        entries: &mut [Entry],
+        balancer: &mut Balancer,
+        now: Time,
+    ) -> Vec<Event> {
+        let mut holds = Vec::new();
+        let known_closed =
+            self.closed.union(&self.holds.closed()).cloned().collect::<BTreeSet<_>>();
+        holds.extend(known_closed.difference(closed).cloned().map(Hold::Closed));
+        let directory = balancer.directory_mut();
+        let mut retired = self.holds.retired();
+        retired.extend(directory.retired().map(|(id, born)| (id.clone(), born)));
+        for entry in entries {
+            if let Some(known) = directory.get(&entry.id).filter(|it| it.born > entry.born) {
+                *entry = (**known).clone();
+            }
+            if !entry.is_draining && retired.get(&entry.id) == Some(&entry.born) {
+                holds.push(Hold::Retired { server: entry.id.clone(), born: entry.born });
+            }
+        }
+        directory.on_store_restored(now);
+        let mut events = vec![Event::Restored(era)];
+        for hold in holds {
+            self.holds.add(hold.clone(), now);
+            events.push(Event::Held(hold));
+        }
+        self.apply_retired(balancer);
+        events
+    }
+
+    /// Keeps a restriction that another node keeps for `left`.
+    pub fn on_hold(
+        &mut self,
+        hold: Hold,
+        left: Duration,
+        balancer: &mut Balancer,
+        now: Time,
+    ) -> Vec<Event> {
+        if !self.holds.merge(hold.clone(), left, now) {
+            return Vec::new();
+        }
+        let mut events = vec![Event::Held(hold)];
+        self.apply_retired(balancer);
+        events.extend(self.apply_closed(balancer));
+        events
+    }
+
+    /// Returns the next kept restrictions to repeat to other nodes.
+    pub fn next_holds(&mut self, now: Time) -> Vec<News> {
+        self.holds.next_news(now)
+    }
+
+    /// Returns the room that packets keep for kept restrictions, in bytes.
+    pub fn hold_bytes(&self) -> usize {
+        self.holds.news_bytes()
+    }
+
+    /// Ends the restrictions whose time is over.
+    pub(super) fn expire_holds(&mut self, balancer: &mut Balancer, now: Time) -> Vec<Event> {
+        let ended = self.holds.expire(now);
+        if ended.is_empty() {
+            return Vec::new();
+        }
+        let mut events: Vec<_> = ended.into_iter().map(Event::HoldEnded).collect();
+        self.apply_retired(balancer);
+        events.extend(self.apply_closed(balancer));
+        events
+    }
+
+    /// Closes the data centres that the store states as closed or that are kept closed. Returns the
+    /// change, if there is any.
+    pub(super) fn apply_closed(&self, balancer: &mut Balancer) -> Option<Event> {
+        let closed: BTreeSet<_> = self.closed.union(&self.holds.closed()).cloned().collect();
+        let is_same = closed.len() == balancer.closed().len()
+            && closed.iter().all(|it| balancer.closed().contains(it));
+        if is_same {
+            return None;
+        }
+        balancer.set_closed(closed.iter().cloned().collect());
+        Some(Event::Closed(closed.into_iter().collect()))
+    }
+
+    fn apply_retired(&self, balancer: &mut Balancer) {
+        let retired: HashMap<_, _> = self.holds.retired();
+        balancer.set_retired(retired);
+    }
+}
--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -2,7 +2,8 @@
 
 use super::{Mark, Record, State};
 use crate::{
-    balance::Sample, config::Stamp, fingerprint::Fingerprint, name::Name, quarantine::Crash,
+    balance::Sample, config::Stamp, feed::Hold, fingerprint::Fingerprint, name::Name,
+    quarantine::Crash,
 };
 
 /// A news item, which spreads to every node.
@@ -39,6 +40,13 @@
         /// Whether the attempt repeats an earlier one with the same content that was lost.
         is_repeat: bool,
     },
+    /// A restriction that is kept although the restored store does not state it.
+    Hold {
+        /// The restriction.
+        hold: Hold,
+        /// How much longer the sender keeps it, in milliseconds.
+        left_millis: u32,
+    },
     /// Recent observations of backend servers by one node.
     Seen(Vec<Sample>),
 }
@@ -57,7 +65,7 @@
             News::Member(record) => record.state == State::Leaving,
             News::State(mark) => matches!(mark.state, State::Leaving | State::Dead),
             News::Config { .. } | News::Leaving { .. } | News::Crash { .. } => true,
-            News::Seen(_) => false,
+            News::Hold { .. } | News::Seen(_) => false,
         }
     }
 
--- a/crates/core/tests/direct/fixture.rs
+++ b/crates/core/tests/direct/fixture.rs
@@ -5,7 +5,7 @@
 use mimosabridge::{
     balance::{Balancer, Settings},
     directory::Entry,
-    feed::{Fact, Mirror, Snapshot},
+    feed::{Fact, Mirror, Position, Snapshot},
     member::{Incarnation, Record, Roles, State},
     name::Name,
     plan::{Gather, Limits, Plan, Repeat, Rule, Service, Spec, Target},
@@ -103,7 +103,7 @@
         let mut mirror = Mirror::new();
         let spec = Spec { version: 1, limits: Limits::default(), rules, services };
         let facts = std::iter::once(Fact::Plan(spec)).chain(entries.into_iter().map(Fact::Server));
-        let snapshot = Snapshot { revision: 10, facts: facts.collect() };
+        let snapshot = Snapshot { position: Position::new(0, 10), facts: facts.collect() };
         mirror.replace(snapshot, &mut balancer, at(0));
         let plan = mirror.plan().expect("a plan was published").clone();
         Node { balancer, mirror, plan }
@@ -119,8 +119,13 @@
     }
 
     pub fn extend(&mut self, revision: u64, facts: Vec<Fact>, now: Time) {
-        let after = self.mirror.revision();
-        self.mirror.extend(after, Snapshot { revision, facts }, &mut self.balancer, now);
+        let after = self.mirror.position();
+        self.mirror.extend(
+            after,
+            Snapshot { position: Position::new(0, revision), facts },
+            &mut self.balancer,
+            now,
+        );
     }
 }
 
--- a/crates/core/tests/direct/late_news.rs
+++ b/crates/core/tests/direct/late_news.rs
@@ -3,7 +3,7 @@
 use std::{ops::Range, time::Duration};
 
 use mimosabridge::{
-    feed::{ANSWER_TIMEOUT, Lag, Progress, Reader, Step},
+    feed::{ANSWER_TIMEOUT, Lag, Position, Progress, Reader, Step},
     member::{Action, Packet, Peer},
     time::Time,
 };
@@ -73,7 +73,8 @@
 }
 
 fn progress(revision: u64) -> Progress {
-    Progress { revision, urgent: revision }
+    let position = Position::new(0, revision);
+    Progress { position, urgent: position, version: 0 }
 }
 
 impl Fleet {
@@ -145,11 +146,12 @@
         let revision = self.revision(millis);
         let node = &mut self.nodes[number];
         let Some(read) = &mut node.read else {
-            let (after, wait, is_list) = match node.reader.step(node.known, at(millis)) {
-                Step::Pause(_) => return,
-                Step::List => (0, Duration::ZERO, true),
-                Step::Watch { after, wait } => (after, wait, false),
-            };
+            let (after, wait, is_list) =
+                match node.reader.step(Position::new(0, node.known), at(millis)) {
+                    Step::Pause(_) => return,
+                    Step::List => (0, Duration::ZERO, true),
+                    Step::Watch { after, wait } => (after.revision, wait, false),
+                };
             let until = millis + (wait + ANSWER_TIMEOUT).as_millis() as u64;
             node.lag.on_read(at(millis));
             node.read = Some(Read { sent: millis, after, until, is_list, is_forgotten: is_out });
--- a/crates/core/tests/direct/mirror_updates.rs
+++ b/crates/core/tests/direct/mirror_updates.rs
@@ -3,7 +3,7 @@
 use mimosabridge::{
     balance::Balancer,
     directory::Change,
-    feed::{Event, Fact, Mirror, Snapshot, Update},
+    feed::{Event, Fact, Mirror, Position, Progress, Snapshot, Update},
     name::Name,
     plan::Spec,
 };
@@ -14,8 +14,17 @@
     Fact::Plan(Spec { version, ..Spec::default() })
 }
 
+fn on(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
+/// Returns the progress of a peer that has the latest configuration.
+fn known(revision: u64) -> Progress {
+    Progress { position: on(revision), version: u64::MAX, ..Progress::default() }
+}
+
 fn delta(revision: u64, facts: Vec<Fact>) -> Snapshot {
-    Snapshot { revision, facts }
+    Snapshot { position: on(revision), facts }
 }
 
 #[test]
@@ -23,7 +32,7 @@
     let (mut mirror, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     let events = mirror.replace(delta(10, vec![plan(5)]), &mut balancer, at(0));
     assert_eq!(events, [Event::Plan(5)]);
-    assert!(mirror.extend(10, delta(11, vec![plan(3)]), &mut balancer, at(1)).is_empty());
+    assert!(mirror.extend(on(10), delta(11, vec![plan(3)]), &mut balancer, at(1)).is_empty());
     assert_eq!(mirror.plan().map(|it| it.version()), Some(5));
 }
 
@@ -31,7 +40,8 @@
 fn older_snapshot_ignored() {
     let (mut mirror, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     mirror.replace(delta(10, vec![Fact::Server(entry(1, "one", "a"))]), &mut balancer, at(0));
-    assert!(mirror.replace(delta(9, Vec::new()), &mut balancer, at(1)).is_empty());
+    let events = mirror.replace(delta(9, Vec::new()), &mut balancer, at(1));
+    assert_eq!(events, [Event::Ignored(on(9))]);
     assert_eq!(balancer.directory().len(), 1);
 }
 
@@ -47,9 +57,9 @@
 fn closed_and_opened() {
     let (mut mirror, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     let data_centre = Name::new("b");
-    mirror.extend(0, delta(2, vec![Fact::Closed(data_centre.clone())]), &mut balancer, at(0));
+    mirror.extend(on(0), delta(2, vec![Fact::Closed(data_centre.clone())]), &mut balancer, at(0));
     assert!(balancer.closed().contains(&data_centre));
-    mirror.extend(2, delta(3, vec![Fact::Opened(data_centre.clone())]), &mut balancer, at(1));
+    mirror.extend(on(2), delta(3, vec![Fact::Opened(data_centre.clone())]), &mut balancer, at(1));
     assert!(!balancer.closed().contains(&data_centre));
 }
 
@@ -70,9 +80,9 @@
     mirror.replace(delta(72, vec![plan(6)]), &mut balancer, at(0));
     mirror.replace(delta(75, vec![plan(6)]), &mut balancer, at(1));
     let crossing = delta(78, vec![plan(10)]);
-    assert!(mirror.extend(72, crossing.clone(), &mut balancer, at(2)).is_empty());
-    assert_eq!(mirror.revision(), 75, "the next watch begins here");
-    assert_eq!(mirror.extend(75, crossing, &mut balancer, at(3)), [Event::Plan(10)]);
+    assert!(mirror.extend(on(72), crossing.clone(), &mut balancer, at(2)).is_empty());
+    assert_eq!(mirror.position(), on(75), "the next watch begins here");
+    assert_eq!(mirror.extend(on(75), crossing, &mut balancer, at(3)), [Event::Plan(10)]);
 }
 
 #[test]
@@ -81,21 +91,21 @@
     let (mut reader, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     reader.replace(delta(10, servers.clone()), &mut balancer, at(0));
     let (mut follower, mut follower_balancer) = (Mirror::new(), Balancer::new(settings(), 2));
-    let Some(Update::All(all)) = reader.update_since(0, &balancer) else {
+    let Some(Update::All(all)) = reader.update_since(&known(0), &balancer) else {
         panic!("not sent everything")
     };
     follower.replace(all, &mut follower_balancer, at(1));
-    assert_eq!(reader.update_since(10, &balancer), None);
+    assert_eq!(reader.update_since(&known(10), &balancer), None);
 
-    reader.extend(10, delta(12, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
-    reader.extend(12, delta(13, vec![plan(4)]), &mut balancer, at(3));
-    let Some(Update::Since(since)) = reader.update_since(10, &balancer) else {
+    reader.extend(on(10), delta(12, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
+    reader.extend(on(12), delta(13, vec![plan(4)]), &mut balancer, at(3));
+    let Some(Update::Since(since)) = reader.update_since(&known(10), &balancer) else {
         panic!("not sent a delta")
     };
     assert_eq!(since.facts.len(), 2, "only what the follower lacks");
-    let events = follower.extend(10, since, &mut follower_balancer, at(4));
+    let events = follower.extend(on(10), since, &mut follower_balancer, at(4));
     assert_eq!(events, [Event::Server(Change::Removed(Name::new("i-1"))), Event::Plan(4)]);
-    assert_eq!(follower.revision(), 13);
+    assert_eq!(follower.position(), on(13));
 }
 
 /// A follower that switches to another reader may know a revision in the middle of one of its
@@ -104,12 +114,12 @@
 fn overlapping_delta() {
     let (mut reader, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     reader.replace(delta(10, vec![plan(1)]), &mut balancer, at(0));
-    reader.extend(10, delta(20, vec![plan(2)]), &mut balancer, at(1));
+    reader.extend(on(10), delta(20, vec![plan(2)]), &mut balancer, at(1));
     assert!(
-        matches!(reader.update_since(15, &balancer), Some(Update::Since(it)) if it.revision == 20)
+        matches!(reader.update_since(&known(15), &balancer), Some(Update::Since(it)) if it.position == on(20))
     );
     assert!(
-        matches!(reader.update_since(9, &balancer), Some(Update::All(_))),
+        matches!(reader.update_since(&known(9), &balancer), Some(Update::All(_))),
         "older than the kept deltas"
     );
 }
@@ -120,11 +130,11 @@
     reader.replace(delta(10, vec![plan(1)]), &mut balancer, at(0));
     for revision in 10..2_000 {
         let gone = vec![Fact::Gone(Name::new("i-1"))];
-        reader.extend(revision, delta(revision + 1, gone), &mut balancer, at(1));
+        reader.extend(on(revision), delta(revision + 1, gone), &mut balancer, at(1));
     }
-    assert!(matches!(reader.update_since(10, &balancer), Some(Update::All(_))));
+    assert!(matches!(reader.update_since(&known(10), &balancer), Some(Update::All(_))));
     assert!(
-        matches!(reader.update_since(1_990, &balancer), Some(Update::Since(it)) if it.facts.len() == 10)
+        matches!(reader.update_since(&known(1_990), &balancer), Some(Update::Since(it)) if it.facts.len() == 10)
     );
 }
 
@@ -139,9 +149,9 @@
     balancer.directory_mut().on_store_unavailable();
     let gone = |it: &str| Event::Server(Change::Removed(Name::new(it)));
     let update = Update::Since(delta(11, vec![Fact::Gone(Name::new("i-1"))]));
-    assert_eq!(mirror.apply(10, update, &mut balancer, at(1)), [gone("i-1")]);
+    assert_eq!(mirror.apply(on(10), update, &mut balancer, at(1)), [gone("i-1")]);
     let update = Update::All(delta(12, vec![Fact::Server(entry(3, "one", "a"))]));
-    assert_eq!(mirror.apply(11, update, &mut balancer, at(2)), [gone("i-2")]);
+    assert_eq!(mirror.apply(on(11), update, &mut balancer, at(2)), [gone("i-2")]);
 }
 
 #[test]
@@ -151,13 +161,13 @@
     reader.replace(delta(10, vec![server.clone()]), &mut balancer, at(0));
     balancer.directory_mut().on_store_unavailable();
     balancer.directory_mut().on_store_available(at(1));
-    reader.extend(10, delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
-    let update = reader.update_since(10, &balancer).expect("the reader is ahead");
+    reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
+    let update = reader.update_since(&known(10), &balancer).expect("the reader is ahead");
 
     let (mut follower, mut follower_balancer) = (Mirror::new(), Balancer::new(settings(), 2));
     follower.replace(delta(10, vec![server]), &mut follower_balancer, at(0));
     let lapsed = Event::Server(Change::Lapsed(Name::new("i-1")));
-    assert_eq!(follower.apply(10, update, &mut follower_balancer, at(3)), [lapsed]);
+    assert_eq!(follower.apply(on(10), update, &mut follower_balancer, at(3)), [lapsed]);
     assert!(follower.tick(&mut follower_balancer, at(2_000)).is_empty(), "the entry may reappear");
     let gone = Event::Server(Change::Removed(Name::new("i-1")));
     assert_eq!(follower.tick(&mut follower_balancer, at(2_400)), [gone]);
@@ -171,11 +181,11 @@
     reader.replace(delta(10, vec![Fact::Server(entry(1, "one", "a"))]), &mut balancer, at(0));
     balancer.directory_mut().on_store_unavailable();
     balancer.directory_mut().on_store_available(at(1));
-    reader.extend(10, delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
+    reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
 
     let (mut follower, mut follower_balancer) = (Mirror::new(), Balancer::new(settings(), 2));
-    let update = reader.update_since(0, &balancer).expect("the reader is ahead");
-    follower.apply(0, update, &mut follower_balancer, at(3));
+    let update = reader.update_since(&known(0), &balancer).expect("the reader is ahead");
+    follower.apply(on(0), update, &mut follower_balancer, at(3));
     assert_eq!(follower_balancer.directory().len(), 1, "the entry may reappear");
     follower.tick(&mut follower_balancer, at(2_400));
     assert!(follower_balancer.directory().is_empty());
--- a/crates/core/tests/direct/model/simulation.rs
+++ b/crates/core/tests/direct/model/simulation.rs
@@ -6,7 +6,7 @@
 
 use mimosabridge::{
     balance::Settings,
-    feed::{Fact, Snapshot},
+    feed::{Fact, Position, Snapshot},
     name::Name,
     plan::Rule,
     scatter::{Action, Attempt, End, Run, Verdict},
@@ -108,7 +108,7 @@
             node.balancer = mimosabridge::balance::Balancer::new(settings, number as u64);
             node.balancer.set_nodes(count as u32);
             let snapshot = Snapshot {
-                revision: 11,
+                position: Position::new(0, 11),
                 facts: entries.iter().cloned().map(Fact::Server).collect(),
             };
             node.mirror.replace(snapshot, &mut node.balancer, fixture::at(0));
--- a/crates/core/tests/direct/shared_reports.rs
+++ b/crates/core/tests/direct/shared_reports.rs
@@ -4,7 +4,7 @@
 
 use mimosabridge::{
     balance::{Balancer, Observation, Purpose, Sample, Tally},
-    feed::Progress,
+    feed::{Position, Progress},
     member::{Action, Incarnation, News, Peer, Record},
     name::Name,
     plan::{Rule, Target},
@@ -131,7 +131,8 @@
 fn peer(others: Vec<Record>) -> Peer {
     let own = longest("edge-a-data-centre-1", "a-data-centre-1");
     let mut peer = Peer::new(own, Default::default(), at(0));
-    peer.set_progress(Progress { revision: u64::MAX, urgent: u64::MAX });
+    let position = Position::new(u64::MAX, u64::MAX);
+    peer.set_progress(Progress { position, urgent: position, version: u64::MAX });
     peer.on_roster(others, at(0));
     peer
 }
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -3,20 +3,25 @@
 use std::time::Duration;
 
 use mimosabridge::{
-    feed::{Lag, Progress, Reader, Step},
+    feed::{Lag, Position, Progress, Reader, Step},
     time::Time,
 };
 
 use crate::fixture::at;
 
+fn on(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 fn progress(revision: u64, urgent: u64) -> Progress {
-    Progress { revision, urgent }
+    let urgent = Position::new(0, urgent);
+    Progress { position: Position::new(0, revision), urgent, version: 0 }
 }
 
 /// Returns when the reader takes its next step, which must be within a second: a version must be in
 /// force everywhere within 3 s.
 fn next_step(reader: &Reader, millis: u64) -> Time {
-    let Step::Pause(until) = reader.step(1, at(millis)) else { return at(millis) };
+    let Step::Pause(until) = reader.step(on(1), at(millis)) else { return at(millis) };
     assert!(until < at(millis + 1_000));
     until
 }
@@ -24,9 +29,11 @@
 #[test]
 fn list_then_watch() {
     let mut reader = Reader::new(at(0));
-    assert_eq!(reader.step(0, at(0)), Step::List);
+    assert_eq!(reader.step(on(0), at(0)), Step::List);
     reader.on_list(at(1));
-    assert!(matches!(reader.step(7, next_step(&reader, 1)), Step::Watch { after: 7, .. }));
+    assert!(
+        matches!(reader.step(on(7), next_step(&reader, 1)), Step::Watch { after, .. } if after == on(7))
+    );
 }
 
 #[test]
@@ -34,16 +41,18 @@
     let mut reader = Reader::new(at(0));
     reader.on_list(at(1));
     reader.on_watch(at(100));
-    let Step::Pause(until) = reader.step(8, at(100)) else { panic!("no pause after a change") };
+    let Step::Pause(until) = reader.step(on(8), at(100)) else { panic!("no pause after a change") };
     assert!(until > at(400) && until < at(1_500), "in force within seconds");
-    assert!(matches!(reader.step(8, until), Step::Watch { after: 8, .. }));
+    assert!(matches!(reader.step(on(8), until), Step::Watch { after, .. } if after == on(8)));
 }
 
 #[test]
 fn peer_ahead() {
     let mut reader = Reader::new(at(0));
     reader.on_list(at(1));
-    assert!(matches!(reader.step(9, next_step(&reader, 1)), Step::Watch { after: 9, .. }));
+    assert!(
+        matches!(reader.step(on(9), next_step(&reader, 1)), Step::Watch { after, .. } if after == on(9))
+    );
 }
 
 #[test]
@@ -51,9 +60,11 @@
     let mut reader = Reader::new(at(0));
     reader.on_list(at(1));
     reader.on_history_expired(at(2));
-    assert_eq!(reader.step(9, at(2)), Step::List);
+    assert_eq!(reader.step(on(9), at(2)), Step::List);
     reader.on_list(at(3));
-    assert!(matches!(reader.step(9, next_step(&reader, 3)), Step::Watch { after: 9, .. }));
+    assert!(
+        matches!(reader.step(on(9), next_step(&reader, 3)), Step::Watch { after, .. } if after == on(9))
+    );
 }
 
 /// Guards against a long watch while the store is unavailable: a VM that the store refused waited
@@ -64,8 +75,8 @@
     reader.on_list(at(1));
     reader.on_failure(0.5, at(2));
     assert!(reader.is_store_unavailable());
-    let Step::Pause(until) = reader.step(7, at(2)) else { panic!("no pause after a failure") };
-    let Step::Watch { wait, .. } = reader.step(7, until) else { panic!("no watch") };
+    let Step::Pause(until) = reader.step(on(7), at(2)) else { panic!("no pause after a failure") };
+    let Step::Watch { wait, .. } = reader.step(on(7), until) else { panic!("no watch") };
     assert!(
         wait <= Duration::from_secs(1),
         "a watch of {wait:?} delays the detection of a recovered store"
@@ -80,7 +91,7 @@
     for _ in 0..40 {
         reader.on_failure(1.0, at(0));
     }
-    let Step::Pause(until) = reader.step(0, at(0)) else { panic!("no pause after a failure") };
+    let Step::Pause(until) = reader.step(on(0), at(0)) else { panic!("no pause after a failure") };
     assert!(
         until < at(1_500),
         "a node that starts while the store is down must read it soon after its recovery"
@@ -135,7 +146,7 @@
 fn forgotten_watch() {
     let mut reader = Reader::new(at(0));
     reader.on_list(at(1));
-    let Step::Watch { wait, .. } = reader.step(7, next_step(&reader, 1)) else {
+    let Step::Watch { wait, .. } = reader.step(on(7), next_step(&reader, 1)) else {
         panic!("no watch")
     };
     assert!(wait <= Duration::from_secs(2), "a watch of {wait:?} outlives the store for too long");
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -41,6 +41,15 @@
 /// Evidence that a request crashed a backend server no longer counts.
 pub const EVIDENCE_DROPPED: Event = Event::new(5112, Level::Info, "evidence of a crash dropped");
 
+/// The store came back from an older copy.
+pub const RESTORED: Event = Event::new(5113, Level::Warn, "store restored");
+/// A restriction that the restored store does not state is kept, or no longer kept.
+pub const HELD: Event = Event::new(5114, Level::Info, "restriction held");
+/// Facts were ignored because later ones are known.
+pub const IGNORED: Event = Event::new(5115, Level::Info, "older facts ignored");
+/// The answer to a watch does not continue what is known.
+pub const DISCONTINUED: Event = Event::new(5116, Level::Warn, "watch discontinued");
+
 /// A request was served.
 pub const SERVED: Event = Event::new(5201, Level::Info, "request served");
 /// A request was served with some shards missing.
@@ -76,6 +85,10 @@
     UPSTREAM,
     SUSPECT,
     EVIDENCE_DROPPED,
+    RESTORED,
+    HELD,
+    IGNORED,
+    DISCONTINUED,
     SERVED,
     PARTIAL,
     REFUSED,
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -48,8 +48,8 @@
 /// Fetches the published facts from a peer. Returns whether it had an update.
 async fn fetch_from_peer(shared: &Shared, exchange: &Exchange) -> bool {
     let Some(address) = exchange.peer_to_ask() else { return false };
-    let revision = shared.state.borrow().mirror.revision();
-    let question = Question { revision, is_away: false, wait_millis: 0 };
+    let progress = shared.state.borrow().mirror.progress();
+    let question = Question { progress, is_away: false, wait_millis: 0 };
     let reply = match fetch(address, question).await {
         Ok(reply) => reply,
         Err(error) => {
@@ -69,6 +69,6 @@
         shared.state.borrow_mut().balancer.directory_mut().on_store_available(now);
     }
     let Some(update) = reply.told else { return false };
-    apply_update(shared, exchange, revision, update, address, age);
+    apply_update(shared, exchange, progress.position, update, address, age);
     true
 }
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -1,7 +1,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use mimosabridge::{
-    feed::{Reader, Update, Upstream},
+    feed::{Position, Progress, Reader, Update, Upstream},
     member::Record,
 };
 
@@ -25,7 +25,7 @@
                 Upstream::Store => "store",
                 Upstream::Peer(peer) => peer.name.as_str(),
             };
-            let revision = shared.state.borrow().mirror.revision();
+            let revision = shared.state.borrow().mirror.position().revision;
             events::UPSTREAM.emit(&[("upstream", &name), ("revision", &revision)]);
         }
         match &upstream {
@@ -39,13 +39,13 @@
 
 /// Waits for an update from the reader that this node follows.
 async fn step(shared: &Shared, exchange: &Exchange, connection: &Connection, peer: &Record) {
-    let (revision, is_away) = {
+    let (progress, is_away) = {
         let state = shared.state.borrow();
-        (state.mirror.revision(), state.balancer.directory().is_store_unavailable())
+        (state.mirror.progress(), state.balancer.directory().is_store_unavailable())
     };
     tokio::select! {
-        result = connection.follow(peer.rpc, revision, is_away) => match result {
-            Ok(reply) => on_reply(shared, exchange, revision, reply, peer.rpc),
+        result = connection.follow(peer.rpc, progress, is_away) => match result {
+            Ok(reply) => on_reply(shared, exchange, progress, reply, peer.rpc),
             Err(error) => {
                 events::TROUBLE.emit(&[
                     ("operation", &"follow a reader"),
@@ -64,7 +64,7 @@
 fn on_reply(
     shared: &Shared,
     exchange: &Exchange,
-    revision: u64,
+    progress: Progress,
     reply: Reply,
     address: SocketAddr,
 ) {
@@ -80,29 +80,30 @@
         }
     }
     if let Some(update) = reply.told {
-        apply_update(shared, exchange, revision, update, address, age);
+        apply_update(shared, exchange, progress.position, update, address, age);
     }
 }
 
-/// Applies an update from a peer to the mirror, which was at `revision` when the peer was asked.
+/// Applies an update from a peer to the mirror, which was at `known` when the peer was asked.
 /// The store answered the peer `age` ago.
 pub fn apply_update(
     shared: &Shared,
     exchange: &Exchange,
-    revision: u64,
+    known: Position,
     update: Update,
     address: SocketAddr,
     age: Duration,
 ) {
     let changes = {
         let state = &mut *shared.state.borrow_mut();
-        state.mirror.apply(revision, update, &mut state.balancer, shared.now())
+        state.mirror.apply(known, update, &mut state.balancer, shared.now())
     };
-    let known = shared.state.borrow().mirror.revision();
+    let position = shared.state.borrow().mirror.position();
     events::FETCHED.emit(&[
         ("peer", &address),
-        ("revision", &known),
-        ("known_revision", &revision),
+        ("era", &position.era),
+        ("revision", &position.revision),
+        ("known_revision", &known.revision),
         ("contact_age_millis", &age.as_millis()),
     ]);
     shared.on_changes(&changes, "peer");
--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -1,6 +1,6 @@
 use mimosabridge::{
     balance::Balancer,
-    feed::{ANSWER_TIMEOUT, Event, Mirror, Reader, Snapshot, Step},
+    feed::{ANSWER_TIMEOUT, Event, Mirror, Position, Reader, Snapshot, Step},
 };
 
 use super::{Source, SourceError, catch_up};
@@ -9,7 +9,7 @@
 /// Performs the next step of a node that reads the store itself. While the store does not answer,
 /// the node catches up through peers.
 pub async fn step(shared: &Shared, source: &Source, exchange: &Exchange, reader: &mut Reader) {
-    let known = shared.state.borrow().mirror.revision();
+    let known = shared.state.borrow().mirror.position();
     match reader.step(known, shared.now()) {
         Step::Pause(until) => {
             tokio::select! {
@@ -75,11 +75,21 @@
     shared: &Shared,
     exchange: &Exchange,
     reader: &mut Reader,
-    after: u64,
+    after: Position,
     result: Result<Snapshot, SourceError>,
 ) {
     match result {
         Ok(delta) => {
+            if !delta.position.continues(&after) {
+                reader.on_discontinued(after, delta.position, shared.now());
+                events::DISCONTINUED.emit(&[
+                    ("era", &delta.position.era),
+                    ("revision", &delta.position.revision),
+                    ("known_era", &after.era),
+                    ("known_revision", &after.revision),
+                ]);
+                return;
+            }
             on_answer(shared, exchange, reader);
             apply(shared, exchange, |mirror, balancer| {
                 mirror.extend(after, delta, balancer, shared.now())
--- a/crates/direct/src/feed/source.rs
+++ b/crates/direct/src/feed/source.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use mimosabridge::feed::Snapshot;
+use mimosabridge::feed::{Position, Snapshot};
 use snafu::Snafu;
 
 /// A pending read of the store.
@@ -11,16 +11,16 @@
 pub struct Source {
     /// Reads all published facts.
     pub list: Box<dyn Fn() -> Read>,
-    /// Waits up to a duration for facts that are published after a revision. The read fails if the
+    /// Waits up to a duration for facts that are published after a position. The read fails if the
     /// store takes longer for its answer than the second duration beyond that.
-    pub watch: Box<dyn Fn(u64, Duration, Duration) -> Read>,
+    pub watch: Box<dyn Fn(Position, Duration, Duration) -> Read>,
 }
 
 /// The error of a read of the store.
 #[derive(Debug, Snafu)]
 pub enum SourceError {
-    /// The store no longer holds the history since the revision.
-    #[snafu(display("the history since the revision has expired"))]
+    /// The store no longer holds the history since the position.
+    #[snafu(display("the history since the position has expired"))]
     HistoryExpired,
     /// The store did not answer, or its answer was unexpected.
     #[snafu(display("{reason}"))]
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -35,6 +35,8 @@
     pub servers: IntGauge,
     /// The estimated number of nodes that share the servers.
     pub nodes: IntGauge,
+    /// The era of the platform's store, once it has come back from an older copy.
+    pub store_era: IntGauge,
     /// The number of calls to the platform's store.
     pub store_calls: IntCounter,
     /// The number of failed calls to the platform's store.
@@ -68,6 +70,7 @@
             plan_version: gauge("config_version", "Version of the configuration in force."),
             servers: gauge("servers", "Backend servers that are known."),
             nodes: gauge("nodes", "Nodes that share the servers."),
+            store_era: gauge("store_era", "Era of the platform's store."),
             store_calls: counter("store_calls_total", "Calls to the platform's store."),
             store_failures: counter("store_failures_total", "Store calls that failed."),
             peer_bytes: counter("peer_bytes_sent_total", "Bytes to other nodes."),
@@ -98,7 +101,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 15] = [
+        let collectors: [Box<dyn Collector>; 16] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.attempts.clone()),
@@ -111,6 +114,7 @@
             Box::new(self.plan_version.clone()),
             Box::new(self.servers.clone()),
             Box::new(self.nodes.clone()),
+            Box::new(self.store_era.clone()),
             Box::new(self.store_calls.clone()),
             Box::new(self.store_failures.clone()),
             Box::new(self.peer_bytes.clone()),
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -11,7 +11,7 @@
 use mimosabridge::{
     balance::{self, Balancer},
     directory::Change,
-    feed::{Event, Mirror},
+    feed::{Event, Mirror, Position},
     fingerprint::Fingerprint,
     plan::Plan,
     quarantine::{Detector, List, Sign},
@@ -106,26 +106,38 @@
         if changes.is_empty() {
             return;
         }
-        let revision = self.state.borrow().mirror.revision();
+        let Position { era, revision } = self.state.borrow().mirror.position();
         for item in changes {
-            let common: [(&str, &dyn std::fmt::Display); 2] =
-                [("source", &source), ("revision", &revision)];
+            let common: [(&str, &dyn std::fmt::Display); 3] =
+                [("source", &source), ("era", &era), ("revision", &revision)];
+            let emit = |event: &mimosabridge_cli::Event, name, value: &dyn std::fmt::Display| {
+                event.emit(&[common[0], common[1], common[2], (name, value)]);
+            };
             match item {
                 Event::Plan(version) => {
                     self.metrics.plan_version.set(*version as i64);
-                    events::PLAN.emit(&[common[0], common[1], ("version", version)]);
+                    emit(&events::PLAN, "version", version);
                 }
                 Event::Server(change) => {
                     if let Change::Removed(id) | Change::Restarted(id) = change {
                         self.on_sign(id, Sign::Replaced, "store");
                     }
                     let change = format!("{change:?}");
-                    events::SERVER.emit(&[common[0], common[1], ("change", &change)]);
+                    emit(&events::SERVER, "change", &change);
                 }
                 Event::Closed(closed) => {
                     let closed: Vec<_> = closed.iter().map(|it| it.as_str()).collect();
                     let closed = closed.join(",");
-                    events::CLOSED.emit(&[common[0], common[1], ("data_centres", &closed)]);
+                    emit(&events::CLOSED, "data_centres", &closed);
+                }
+                Event::Restored(began) => {
+                    self.metrics.store_era.set(*began as i64);
+                    emit(&events::RESTORED, "began", began);
+                }
+                Event::Held(hold) => emit(&events::HELD, "begun", &format_args!("{hold:?}")),
+                Event::HoldEnded(hold) => emit(&events::HELD, "ended", &format_args!("{hold:?}")),
+                Event::Ignored(position) => {
+                    emit(&events::IGNORED, "position", &format_args!("{position:?}"));
                 }
             }
         }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -128,7 +128,7 @@
         self.inner.selector.borrow_mut().on_failure(reader, self.inner.shared.now());
     }
 
-    /// Publishes the current revision to peers and answers questions that wait for it. To be called
+    /// Publishes the current progress to peers and answers questions that wait for it. To be called
     /// after the mirror may have changed.
     pub fn on_updated(&self) {
         self.inner.peer.borrow_mut().set_progress(self.inner.progress());
@@ -247,7 +247,9 @@
     fn on_tick(&self, tick: timer::Tick) {
         let actions = {
             let mut peer = self.peer.borrow_mut();
-            peer.set_reserve(self.shared.state.borrow().quarantine.news_bytes());
+            let state = self.shared.state.borrow();
+            peer.set_reserve(state.quarantine.news_bytes() + state.mirror.hold_bytes());
+            drop(state);
             if tick.late >= PAUSE_THRESHOLD {
                 peer.on_pause(tick.now);
             }
@@ -298,8 +300,10 @@
             match action {
                 Action::Send(address, mut packet) => {
                     if packet.is_probe() {
-                        let quarantine = &mut self.shared.state.borrow_mut().quarantine;
-                        packet.fill(quarantine.next_news(self.shared.now()).into_iter());
+                        let state = &mut *self.shared.state.borrow_mut();
+                        let now = self.shared.now();
+                        packet.fill(state.mirror.next_holds(now).into_iter());
+                        packet.fill(state.quarantine.next_news(now).into_iter());
                     }
                     let bytes = packet.encode();
                     self.shared.metrics.peer_bytes.inc_by(bytes.len() as u64);
@@ -336,7 +340,7 @@
     fn has_update(&self, question: &Question) -> bool {
         let state = self.shared.state.borrow();
         let is_away = state.balancer.directory().is_store_unavailable();
-        state.mirror.revision() > question.revision || is_away != question.is_away
+        state.mirror.progress().is_ahead_of(&question.progress) || is_away != question.is_away
     }
 
     fn answer(&self, question: &Question) -> Reply {
@@ -345,7 +349,7 @@
         Reply {
             contact_age_millis: age.as_millis() as u64,
             is_away: state.balancer.directory().is_store_unavailable(),
-            told: state.mirror.update_since(question.revision, &state.balancer),
+            told: state.mirror.update_since(&question.progress, &state.balancer),
         }
     }
 }
--- a/crates/direct/src/peers/fetch.rs
+++ b/crates/direct/src/peers/fetch.rs
@@ -4,6 +4,7 @@
     core::client::Error,
     ws_client::{WsClient, WsClientBuilder},
 };
+use mimosabridge::feed::Progress;
 use mimosabridge_node::rpc::MAX_MESSAGE_BYTES;
 
 use super::rpc::{PublishedClient, Question, Reply};
@@ -15,7 +16,7 @@
 /// and cost a kilobyte each within the data centre.
 const LONG_POLL_WAIT: Duration = Duration::from_millis(2_500);
 
-/// Fetches what is published after a revision from the node at an address. The connection is
+/// Fetches what the asking node lacks from the node at an address. The connection is
 /// closed after the call, since catching up is rare.
 pub async fn fetch(address: SocketAddr, question: Question) -> Result<Reply, Error> {
     connect(address, CALL_TIMEOUT).await?.published(question).await
@@ -38,7 +39,7 @@
     pub async fn follow(
         &self,
         address: SocketAddr,
-        revision: u64,
+        progress: Progress,
         is_away: bool,
     ) -> Result<Reply, Error> {
         let open =
@@ -48,7 +49,7 @@
             None => connect(address, LONG_POLL_WAIT + CALL_TIMEOUT).await?,
         };
         let question =
-            Question { revision, is_away, wait_millis: LONG_POLL_WAIT.as_millis() as u64 };
+            Question { progress, is_away, wait_millis: LONG_POLL_WAIT.as_millis() as u64 };
         let reply = client.published(question).await?;
         *self.client.borrow_mut() = Some((address, client));
         Ok(reply)
--- a/crates/direct/src/peers/rpc.rs
+++ b/crates/direct/src/peers/rpc.rs
@@ -3,7 +3,7 @@
     proc_macros::rpc,
     types::{ErrorObjectOwned, error::INTERNAL_ERROR_CODE},
 };
-use mimosabridge::feed::Update;
+use mimosabridge::feed::{Progress, Update};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
@@ -16,11 +16,11 @@
     async fn published(&self, question: Question) -> RpcResult<Reply>;
 }
 
-/// The revision of a node that asks for an update.
+/// What a node that asks for an update knows.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct Question {
-    /// The revision up to which it has everything.
-    pub revision: u64,
+    /// Up to where it knows the published facts.
+    pub progress: Progress,
     /// Whether the store is unavailable to it.
     pub is_away: bool,
     /// How long it waits for an update, in milliseconds.
--- a/crates/direct/tests/node/crashing_contents.rs
+++ b/crates/direct/tests/node/crashing_contents.rs
@@ -4,7 +4,7 @@
 
 use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
-use mimosabridge::feed::{Fact, Snapshot};
+use mimosabridge::feed::{Fact, Position, Snapshot};
 use tokio::time::sleep;
 
 use crate::env::{Answer, Behavior, Node, Server, ask, entry, request, run, wait_until};
@@ -119,7 +119,7 @@
         });
         wait_until(|| failing.iter().all(|it| it.arrivals() > 0)).await;
         let facts = rest.iter().map(|it| Fact::Server(entry(it))).collect();
-        *node.published.borrow_mut() = Snapshot { revision: 6, facts };
+        *node.published.borrow_mut() = Snapshot { position: Position::new(0, 6), facts };
         sleep(Duration::from_millis(200)).await;
         failing.iter().for_each(Server::crash);
         wait_until(|| answer.borrow().is_some()).await;
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -16,7 +16,7 @@
 use mimosabridge::{
     balance,
     directory::Entry,
-    feed::{Fact, Snapshot},
+    feed::{Fact, Position, Snapshot},
     name::Name,
     plan::{Gather, Limits, Repeat, Rule, Service, Spec, Target},
 };
@@ -84,7 +84,10 @@
     pub async fn start(servers: &[&Server]) -> Node {
         let facts = vec![Fact::Plan(spec())];
         let entries = servers.iter().map(|it| Fact::Server(entry(it)));
-        let snapshot = Snapshot { revision: 5, facts: facts.into_iter().chain(entries).collect() };
+        let snapshot = Snapshot {
+            position: Position::new(0, 5),
+            facts: facts.into_iter().chain(entries).collect(),
+        };
         Node::start_with("node", Rc::new(RefCell::new(snapshot)), BTreeSet::new()).await
     }
 
@@ -142,7 +145,7 @@
             let published = watched.clone();
             watches.set(watches.get() + 1);
             Box::pin(async move {
-                wait_until(|| published.borrow().revision > after).await;
+                wait_until(|| published.borrow().position > after).await;
                 Ok(published.borrow().clone())
             })
         }),
--- a/crates/direct/tests/node/followed_reader.rs
+++ b/crates/direct/tests/node/followed_reader.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
-use mimosabridge::feed::{Fact, Snapshot};
+use mimosabridge::feed::{Fact, Position, Snapshot};
 
 use crate::env::{Behavior, Node, Server, ask, request, run};
 
@@ -28,7 +28,8 @@
         let before = follower.watches.get();
         for (revision, server) in (6..).zip(&servers) {
             let facts = vec![Fact::Gone(server.id.clone())];
-            *reader.published.borrow_mut() = Snapshot { revision, facts };
+            *reader.published.borrow_mut() =
+                Snapshot { position: Position::new(0, revision), facts };
             tokio::time::sleep(Duration::from_millis(1_000)).await;
         }
         while status().await != 503 {
--- a/crates/direct/tests/node/leaving_servers.rs
+++ b/crates/direct/tests/node/leaving_servers.rs
@@ -1,6 +1,6 @@
 //! Servers that are removed from the store while a node runs.
 
-use mimosabridge::feed::{Fact, Snapshot};
+use mimosabridge::feed::{Fact, Position, Snapshot};
 
 use crate::env::{Behavior, Node, Server, ask, request, run};
 
@@ -14,7 +14,7 @@
         };
         assert_eq!(ask_once("r1").await.status, 200);
         let facts = vec![Fact::Gone(old.id.clone())];
-        *node.published.borrow_mut() = Snapshot { revision: 6, facts };
+        *node.published.borrow_mut() = Snapshot { position: Position::new(0, 6), facts };
         while ask_once("r2").await.status != 503 {
             tokio::time::sleep(std::time::Duration::from_millis(5)).await;
         }
