Take no peer's old contact with the store for a new one

Cause: a node that lost the store asked a peer, and any contact of that peer within 9 s counted as news that the store answers. The readers and their followers told one another the same old contact, so that no follower took over after its 1.5 s.

Change: the contact of a peer counts if it is later than this node's loss of the store. The constant of 9 s goes.

--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -19,7 +19,8 @@
     /// Servers whose entries lapsed and may still reappear.
     lapsed: HashSet<Name>,
     removed: Removed,
-    is_store_unavailable: bool,
+    /// Since when the store has been unavailable.
+    unavailable_since: Option<Time>,
     /// When the store last recovered.
     available_since: Option<Time>,
 }
@@ -71,18 +72,25 @@
 
     /// Returns whether the store is unavailable.
     pub fn is_store_unavailable(&self) -> bool {
-        self.is_store_unavailable
+        self.unavailable_since.is_some()
     }
 
     /// Records that neither this node nor the peer that it follows can read the store.
-    pub fn on_store_unavailable(&mut self) {
-        self.is_store_unavailable = true;
+    pub fn on_store_unavailable(&mut self, now: Time) {
+        self.unavailable_since.get_or_insert(now);
+    }
+
+    /// Records that the store answered a peer at `contact`. That shows nothing if this node lost the
+    /// store later.
+    pub fn on_peer_contact(&mut self, contact: Time, now: Time) {
+        if self.unavailable_since.is_some_and(|it| contact > it) {
+            self.on_store_available(now);
+        }
     }
 
     /// Records that the store answers.
     pub fn on_store_available(&mut self, now: Time) {
-        if self.is_store_unavailable {
-            self.is_store_unavailable = false;
+        if self.unavailable_since.take().is_some() {
             self.available_since = Some(now);
         }
     }
@@ -90,7 +98,7 @@
     /// Records that the store came back from an older copy. Entries that the copy lacks get time to
     /// reappear.
     pub fn on_store_restored(&mut self, now: Time) {
-        self.is_store_unavailable = false;
+        self.unavailable_since = None;
         self.available_since = Some(now);
     }
 
@@ -181,7 +189,7 @@
 
     /// Returns whether the store is unavailable or has just recovered.
     fn is_store_unreliable(&self, now: Time) -> bool {
-        self.is_store_unavailable
+        self.is_store_unavailable()
             || self.available_since.is_some_and(|it| now.since(it) < RESTORE_GRACE)
     }
 
--- a/crates/core/tests/direct/lapsed_entries.rs
+++ b/crates/core/tests/direct/lapsed_entries.rs
@@ -21,7 +21,7 @@
 #[test]
 fn kept_while_unavailable() {
     let mut directory = directory();
-    directory.on_store_unavailable();
+    directory.on_store_unavailable(at(0));
     let id = entry(1, "one", "a").id;
     assert_eq!(directory.on_removed(&id, at(1)), Some(Change::Lapsed(id.clone())));
     assert!(
@@ -36,7 +36,7 @@
 #[test]
 fn restored_in_time() {
     let mut directory = directory();
-    directory.on_store_unavailable();
+    directory.on_store_unavailable(at(0));
     directory.on_store_available(at(100));
     let id = entry(1, "one", "a").id;
     directory.on_removed(&id, at(200));
@@ -51,7 +51,7 @@
     let draining = Entry { is_draining: true, ..entry(1, "one", "a") };
     let id = draining.id.clone();
     assert_eq!(directory.set(draining), Some(Change::Draining(id.clone())));
-    directory.on_store_unavailable();
+    directory.on_store_unavailable(at(0));
     assert_eq!(directory.on_removed(&id, at(1)), Some(Change::Removed(id)));
 }
 
@@ -70,3 +70,15 @@
     let count = |service: &str| directory.by_service(&service.into()).count();
     assert_eq!((count("one"), count("two")), (1, 1));
 }
+
+/// Guards against a peer's old contact that counts as news of the store: all nodes told one another
+/// for nine seconds that the store answers, while it refused each of them that read it.
+#[test]
+fn old_contact_of_peer() {
+    let mut directory = directory();
+    directory.on_store_unavailable(at(1_000));
+    directory.on_peer_contact(at(900), at(1_200));
+    assert!(directory.is_store_unavailable(), "the peer's contact was before the loss");
+    directory.on_peer_contact(at(1_100), at(1_200));
+    assert!(!directory.is_store_unavailable());
+}
--- a/crates/core/tests/direct/mirror_updates.rs
+++ b/crates/core/tests/direct/mirror_updates.rs
@@ -146,7 +146,7 @@
     let (mut mirror, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     let servers = (1..4).map(|it| Fact::Server(entry(it, "one", "a")));
     mirror.replace(delta(10, servers.collect()), &mut balancer, at(0));
-    balancer.directory_mut().on_store_unavailable();
+    balancer.directory_mut().on_store_unavailable(at(0));
     let gone = |it: &str| Event::Server(Change::Removed(Name::new(it)));
     let update = Update::Since(delta(11, vec![Fact::Gone(Name::new("i-1"))]));
     assert_eq!(mirror.apply(on(10), update, &mut balancer, at(1)), [gone("i-1")]);
@@ -159,7 +159,7 @@
     let (mut reader, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     let server = Fact::Server(entry(1, "one", "a"));
     reader.replace(delta(10, vec![server.clone()]), &mut balancer, at(0));
-    balancer.directory_mut().on_store_unavailable();
+    balancer.directory_mut().on_store_unavailable(at(0));
     balancer.directory_mut().on_store_available(at(1));
     reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
     let update = reader.update_since(&known(10), &balancer).expect("the reader is ahead");
@@ -179,7 +179,7 @@
 fn lapsed_in_snapshot() {
     let (mut reader, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     reader.replace(delta(10, vec![Fact::Server(entry(1, "one", "a"))]), &mut balancer, at(0));
-    balancer.directory_mut().on_store_unavailable();
+    balancer.directory_mut().on_store_unavailable(at(0));
     balancer.directory_mut().on_store_available(at(1));
     reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
 
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -10,9 +10,6 @@
 /// How often a node asks a peer while the store is unavailable.
 const POLL_INTERVAL: Duration = Duration::from_millis(600);
 
-/// How recent the contact of a peer with the store must be to count as contact of this node.
-const MAX_CONTACT_AGE: Duration = Duration::from_secs(9);
-
 /// While the store is unavailable, fetches from a peer as soon as one is ahead, and otherwise every
 /// [`POLL_INTERVAL`]. Never returns.
 pub async fn while_unavailable(shared: &Shared, exchange: &Exchange, is_unavailable: bool) {
@@ -63,11 +60,9 @@
         }
     };
     let age = Duration::from_millis(reply.contact_age_millis);
-    if age <= MAX_CONTACT_AGE {
-        exchange.on_contact(age);
-        let now = shared.now();
-        shared.state.borrow_mut().balancer.directory_mut().on_store_available(now);
-    }
+    exchange.on_contact(age);
+    let now = shared.now();
+    shared.state.borrow_mut().balancer.directory_mut().on_peer_contact(now.before(age), now);
     let Some(update) = reply.told else { return false };
     apply_update(shared, exchange, progress.position, update, address, age);
     true
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -75,7 +75,7 @@
         let now = shared.now();
         let state = &mut *shared.state.borrow_mut();
         match reply.is_away {
-            true => state.balancer.directory_mut().on_store_unavailable(),
+            true => state.balancer.directory_mut().on_store_unavailable(now),
             false => state.balancer.directory_mut().on_store_available(now),
         }
     }
--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -137,5 +137,5 @@
         events::STORE_LOST.emit(&[("error", error), ("age_millis", &age)]);
     }
     reader.on_failure(rand::random(), now);
-    shared.state.borrow_mut().balancer.directory_mut().on_store_unavailable();
+    shared.state.borrow_mut().balancer.directory_mut().on_store_unavailable(now);
 }
