Share the limit that a server states over all nodes

Cause: nothing read the header. Ruled out: each node keeping to the whole limit (nine times too much); a fixed set of nodes for each server (views of the fleet differ, and the others could not notice the end); saved shares (all nodes send at once when traffic returns).

Change: a node learns the limit from each answer and sends its share by the number of nodes, at moments that are spread over the nodes at random; what it does not use within a second is lost. With many nodes and a low limit a node may send once in several seconds, and three quarters of the limit are used, since chance decides how many send at once. Retries and hedges go to servers without a limit; a service whose servers have no credit is refused at once, with the time until any node may send. The first signed answer without the limit ends it, and nearby nodes are told. Nodes that start in the same millisecond no longer make the same random choices.

Before: stated_limits::limit_ignored fails (180 requests in 4 s, 17 allowed). In core, fleets of 1, 8 and 91 nodes with limits of 0 to 33 a second, restarts and traffic in bursts keep the rule; these tests are of the new interface and were not run against the code before.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use super::{
-    Baseline, Estimate, Observation, Purpose, Sample, Server, Settings,
+    Baseline, Estimate, Observation, Purpose, Quota, Sample, Server, Settings, Stated,
     cost::{admits, cost},
 };
 use crate::{
@@ -29,6 +29,13 @@
 /// The most servers in one report to other nodes: as many as fit in a packet.
 const MAX_SAMPLES: usize = 36;
 
+/// The most ended limits in one report to other nodes: as many as fit in a packet.
+const MAX_UNLIMITED: usize = 50;
+
+/// How long ago this node must have received the statement of a limit for another node's word that
+/// it has ended: reports are sent several times a second, and may be late.
+const MIN_STATED_AGE: Duration = Duration::from_secs(1);
+
 /// The greatest random share added to a cost, so that nodes do not all choose the same server.
 const JITTER: f64 = 0.1;
 
@@ -47,6 +54,8 @@
     closed: HashSet<Name>,
     /// Servers that must get no requests although their entries allow it, with their start.
     retired: HashMap<Name, u64>,
+    /// The servers whose limits have ended, as this node observed, since the last report.
+    unlimited: Vec<u32>,
     rng: SmallRng,
 }
 
@@ -64,6 +73,7 @@
             splits: HashMap::new(),
             closed: HashSet::new(),
             retired: HashMap::new(),
+            unlimited: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
@@ -139,7 +149,7 @@
     }
 
     /// Estimates how soon a request that arrives now can be answered by a server of a service.
-    /// Returns `None` if the service has no server with a free connection for this node.
+    /// Returns `None` if the service has no server with a free connection and credit for this node.
     pub fn estimate(
         &mut self,
         service: &Name,
@@ -154,17 +164,24 @@
             let server = self.servers.get(&entry.id).unwrap_or(&unknown);
             let answer = usual.mul_f64(server.slowness(now).max(0.1));
             let wait = now.until(server.down_until());
-            let has_room = server.running() < max;
+            let has_room =
+                server.running() < max && server.has_credit(Purpose::First, self.nodes, now);
             has_room.then(|| Estimate { is_down: server.is_down(now), answer: wait + answer })
         };
         self.candidates(service).filter_map(estimate).min()
     }
 
-    /// Returns the earliest time at which a server of a service may be tried, which lies ahead only
-    /// if all are down. Returns `None` if the service has no server.
-    pub fn available_at(&self, service: &Name) -> Option<Time> {
-        let server = |it: &Arc<Entry>| self.servers.get(&it.id);
-        self.candidates(service).map(|it| server(it).map_or(Time::ZERO, Server::down_until)).min()
+    /// Returns the earliest time at which a server of a service may be tried by any node, which lies
+    /// ahead only if all are down or have used up their limits. Returns `None` if the service has no
+    /// server.
+    pub fn available_at(&self, service: &Name, now: Time) -> Option<Time> {
+        let available = |entry: &Arc<Entry>| {
+            let Some(server) = self.servers.get(&entry.id) else { return Time::ZERO };
+            let quota = server.quota().filter(|it| !it.has_credit(self.nodes, now));
+            let allowed = quota.map_or(Time::ZERO, |it| now + it.interval(self.nodes));
+            server.down_until().max(allowed)
+        };
+        self.candidates(service).map(available).min()
     }
 
     /// Chooses the server of the least cost for a request, but none of `tried`. Returns `None` if
@@ -191,6 +208,9 @@
             if server.is_down(now) || server.running() >= max {
                 continue;
             }
+            if !server.has_credit(purpose, self.nodes, now) {
+                continue;
+            }
             let is_cold = server.is_cold(now);
             if is_cold && !admits(server, cold_share, purpose, now) {
                 continue;
@@ -238,7 +258,7 @@
         let usual = self.usual_latency(rule);
         let server = self.servers.entry(id.clone()).or_default();
         let expected = usual.mul_f64(server.slowness(now).max(1.0));
-        server.on_sent(expected, now);
+        server.on_sent(expected, self.nodes, now);
     }
 
     /// Records the end of a request that was sent at `sent`. A server that can be reached again
@@ -263,6 +283,47 @@
         }
     }
 
+    /// Records what a server stated in the answer to a request that was sent at `sent`. Returns
+    /// whether it newly has or no longer has a limit. An answer to a request that was sent before the
+    /// last statement shows nothing of the end of the limit.
+    pub fn on_stated(&mut self, id: &Name, stated: Stated, sent: Time, now: Time) -> bool {
+        let phase = self.rng.random::<f64>();
+        let Some(server) = self.servers.get_mut(id) else { return false };
+        let quota = server.quota_mut();
+        match (stated, &mut *quota) {
+            (Stated::Limit(limit), Some(quota)) => {
+                quota.on_stated(limit, self.nodes, now);
+                false
+            }
+            (Stated::Limit(limit), None) => {
+                *quota = Some(Quota::new(limit, phase, now));
+                true
+            }
+            (Stated::NoLimit, Some(known)) if sent >= known.stated() => {
+                *quota = None;
+                self.unlimited.push(id.key());
+                true
+            }
+            (Stated::NoLimit, _) => false,
+        }
+    }
+
+    /// Takes the servers whose limits have ended since the last call, as this node observed.
+    pub fn take_unlimited(&mut self) -> Vec<u32> {
+        let count = self.unlimited.len().min(MAX_UNLIMITED);
+        self.unlimited.drain(..count).collect()
+    }
+
+    /// Ends the limits of servers that another node has observed to have ended, unless this node
+    /// has lately received a statement itself.
+    pub fn on_unlimited(&mut self, servers: &[u32], now: Time) {
+        for key in servers {
+            let server = self.keys.get(key).and_then(|it| self.servers.get_mut(it));
+            let Some(quota) = server.map(Server::quota_mut) else { continue };
+            quota.take_if(|it| now.since(it.stated()) >= MIN_STATED_AGE);
+        }
+    }
+
     /// Takes the observations since the last call, and returns those that other nodes need, the
     /// worst first.
     pub fn report(&mut self, now: Time) -> Vec<Sample> {
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! Handles servers of different speed, servers that pause or turn slow, servers that reject or fail
 //! part of their requests, servers that are down or silent, and cold servers that can take only a
-//! few requests from all nodes together.
+//! few requests from all nodes together. A server that states a limit gets no more from all
+//! nodes together than it takes.
 
 mod aggregate;
 mod balancer;
@@ -11,8 +12,10 @@
 mod estimate;
 mod meter;
 mod purpose;
+mod quota;
 mod server;
 mod settings;
+mod stated;
 mod tally;
 
 pub use self::{
@@ -21,7 +24,9 @@
     estimate::Estimate,
     meter::Meter,
     purpose::Purpose,
+    quota::Quota,
     server::{IDLE_TIMEOUT, Observation, Server},
     settings::{ASSUMED_NODES, Settings},
+    stated::Stated,
     tally::{Sample, Tally},
 };
--- a/crates/core/src/balance/server.rs
+++ b/crates/core/src/balance/server.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Meter, Tally, aggregate::Aggregate};
+use super::{Meter, Purpose, Quota, Tally, aggregate::Aggregate};
 use crate::time::Time;
 
 /// The weight of a new sample in the slowness of a server.
@@ -76,6 +76,8 @@
     /// The idle connections, estimated from the ends of requests, and when one was last used.
     idle: usize,
     idle_since: Time,
+    /// The share of this node in the limit that the server has stated, if it has.
+    quota: Option<Quota>,
 }
 
 impl Server {
@@ -94,11 +96,33 @@
             aggregate: Aggregate::default(),
             idle: 0,
             idle_since: Time::ZERO,
+            quota: None,
         }
     }
 
-    /// Records that a request is sent, which is expected to take `expected`.
-    pub fn on_sent(&mut self, expected: Duration, now: Time) {
+    /// Returns the share of this node in the limit that the server has stated, if it has.
+    pub fn quota(&self) -> Option<&Quota> {
+        self.quota.as_ref()
+    }
+
+    /// Returns the quota for changes.
+    pub fn quota_mut(&mut self) -> &mut Option<Quota> {
+        &mut self.quota
+    }
+
+    /// Returns whether the limit of the server admits a request of this node, one of `nodes`. Extra
+    /// attempts go to servers without a limit.
+    pub fn has_credit(&self, purpose: Purpose, nodes: u32, now: Time) -> bool {
+        let admits = |it: &Quota| purpose == Purpose::First && it.has_credit(nodes, now);
+        self.quota.as_ref().is_none_or(admits)
+    }
+
+    /// Records that this node, one of `nodes`, sends a request, which is expected to take
+    /// `expected`.
+    pub fn on_sent(&mut self, expected: Duration, nodes: u32, now: Time) {
+        if let Some(quota) = &mut self.quota {
+            quota.on_sent(nodes, now);
+        }
         self.idle = if self.is_connected(now) { self.idle - 1 } else { 0 };
         self.under_way.push((now, expected));
         self.meter.on_sent(now);
--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -47,6 +47,8 @@
         /// How much longer the sender keeps it, in milliseconds.
         left_millis: u32,
     },
+    /// Servers whose stated limits have ended, by the hashes of their names.
+    Unlimited(Vec<u32>),
     /// Recent observations of backend servers by one node.
     Seen(Vec<Sample>),
 }
@@ -65,7 +67,7 @@
             News::Member(record) => record.state == State::Leaving,
             News::State(mark) => matches!(mark.state, State::Leaving | State::Dead),
             News::Config { .. } | News::Leaving { .. } | News::Crash { .. } => true,
-            News::Hold { .. } | News::Seen(_) => false,
+            News::Hold { .. } | News::Seen(_) | News::Unlimited(_) => false,
         }
     }
 
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -334,7 +334,7 @@
     /// tried, and at least the share of the objective set by [`RETRY_AFTER_DIVISOR`].
     fn retry_after(&self, context: &Context<'_>) -> Duration {
         let least = self.rule.objective / RETRY_AFTER_DIVISOR;
-        let from = |it: &Shard| context.balancer.available_at(&it.service);
+        let from = |it: &Shard| context.balancer.available_at(&it.service, context.now);
         let latest = self.shards.iter().filter_map(from).max().unwrap_or_default();
         context.now.until(latest).max(least)
     }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -21,6 +21,7 @@
 mod rule_lookup;
 mod run_steps;
 mod shared_reports;
+mod stated_limits;
 mod store_reads;
 mod suspect_content;
 mod upstream_choice;
--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -4,13 +4,14 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, Uri};
 use http_body_util::Full;
 use mimosabridge::{
+    balance::Stated,
     plan::Repeat,
     scatter::{Attempt, End},
 };
 use mimosabridge_node::clock::Clock;
 
 use super::{Link, LinkError, Pool, Reply, classify};
-use crate::wire::Headers;
+use crate::{events, wire::Headers};
 
 /// The longest idle time of a connection that may carry a request that must not be sent twice: a
 /// connection that has been idle for longer may be dead or about to be closed.
@@ -130,5 +131,21 @@
 fn reply(response: Response<Bytes>, names: &Headers) -> Reply {
     let (head, body) = response.into_parts();
     let signature = head.headers.get(&names.signature).cloned();
-    Reply { status: head.status, headers: head.headers, body, signature }
+    let stated = stated(&head.headers, names);
+    Reply { status: head.status, headers: head.headers, body, signature, stated }
+}
+
+/// Returns what a server says of the requests that it takes, or `None` if that is not a valid
+/// number.
+fn stated(headers: &HeaderMap, names: &Headers) -> Option<Stated> {
+    let Some(value) = headers.get(&names.server_limit) else { return Some(Stated::NoLimit) };
+    let limit = value.to_str().ok().and_then(|it| it.trim().parse().ok());
+    let limit = limit.filter(|it: &f64| it.is_finite() && *it >= 0.0);
+    if limit.is_none() {
+        events::TROUBLE.emit(&[
+            ("operation", &"read the limit of a server"),
+            ("error", &format_args!("{value:?} is not a number from 0 up")),
+        ]);
+    }
+    limit.map(Stated::Limit)
 }
--- a/crates/direct/src/backend/reply.rs
+++ b/crates/direct/src/backend/reply.rs
@@ -1,5 +1,6 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
+use mimosabridge::balance::Stated;
 
 /// A complete answer of a backend server.
 #[derive(Clone, Debug)]
@@ -12,4 +13,6 @@
     pub body: Bytes,
     /// The signature by which the server proves that it made the answer.
     pub signature: Option<HeaderValue>,
+    /// What the server says of the requests that it takes, or `None` if that is not a valid number.
+    pub stated: Option<Stated>,
 }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -49,6 +49,8 @@
 pub const IGNORED: Event = Event::new(5115, Level::Info, "older facts ignored");
 /// The answer to a watch does not continue what is known.
 pub const DISCONTINUED: Event = Event::new(5116, Level::Warn, "watch discontinued");
+/// A server has stated a limit on its requests, or no longer states one.
+pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
 
 /// A request was served.
 pub const SERVED: Event = Event::new(5201, Level::Info, "request served");
@@ -89,6 +91,7 @@
     HELD,
     IGNORED,
     DISCONTINUED,
+    LIMIT,
     SERVED,
     PARTIAL,
     REFUSED,
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -2,6 +2,7 @@
 
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use mimosabridge::{
+    balance::Stated,
     fingerprint::Fingerprint,
     plan::{Plan, Target},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
@@ -145,11 +146,34 @@
         }
         evidence::record(&self.shared, self.fingerprint, &attempt, end, error.as_ref());
         if let Some(reply) = reply {
+            self.record_stated(&attempt, end, &reply);
             self.replies.insert(attempt.number, reply);
         }
         self.decide(|run, context| run.on_end(attempt.number, end, context))
     }
 
+    /// Records what a server says of the requests that it takes. Only an answer that it has signed
+    /// shows the end of a limit.
+    fn record_stated(&self, attempt: &Attempt, end: End, reply: &Reply) {
+        let Some(stated) = reply.stated else { return };
+        let counts = match end {
+            End::Served | End::Failed => true,
+            End::Shed => stated != Stated::NoLimit,
+            End::Misdirected | End::Unsent | End::Broken | End::Invalid | End::Silent => false,
+        };
+        let now = self.shared.now();
+        let balancer = &mut self.shared.state.borrow_mut().balancer;
+        let server = &attempt.server;
+        if counts && balancer.on_stated(&server.id, stated, attempt.sent, now) {
+            events::LIMIT.emit(&[
+                ("server", &server.id),
+                ("service", &server.service),
+                ("stated", &format_args!("{stated:?}")),
+                ("nodes", &balancer.nodes()),
+            ]);
+        }
+    }
+
     /// Returns whether an answer has the same signature as an earlier one: a merged answer that
     /// names a signature twice would be wrong as a whole.
     fn is_duplicate(&self, end: End, reply: Option<&Reply>) -> bool {
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -33,7 +33,9 @@
 /// address cannot be bound or the signal handlers cannot be installed.
 pub async fn run(settings: Settings, boot: u64) -> Result<(), StartError> {
     let Settings { name, data_centre, headers, balance, .. } = settings;
-    let shared = Rc::new(Shared::new(headers, balance, boot));
+    // Nodes that start together must not make the same random choices.
+    let seed = boot ^ u64::from(name.key());
+    let shared = Rc::new(Shared::new(headers, balance, seed));
     let timer = timer::Service::start(shared.clock);
     let what = |it: &str, address| format!("listen for {it} on {address}");
     let listener = TcpListener::bind(settings.front).await;
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -16,12 +16,20 @@
             return;
         }
         self.next_report.set(now + REPORT_INTERVAL);
-        let samples = self.shared.state.borrow_mut().balancer.report(now);
-        if samples.is_empty() {
-            return;
+        let (samples, unlimited) = {
+            let balancer = &mut self.shared.state.borrow_mut().balancer;
+            (balancer.report(now), balancer.take_unlimited())
+        };
+        if !unlimited.is_empty() {
+            self.push_nearby(News::Unlimited(unlimited));
+        }
+        if !samples.is_empty() {
+            self.on_report(&samples, "own");
+            self.push_nearby(News::Seen(samples));
         }
-        self.on_report(&samples, "own");
-        let news = News::Seen(samples);
+    }
+
+    fn push_nearby(&self, news: News) {
         let actions = self.peer.borrow().push_nearby(news, &mut *self.rng.borrow_mut());
         self.act(actions);
     }
@@ -66,6 +74,10 @@
                 };
                 self.shared.on_changes(&changes, "peer");
             }
+            News::Unlimited(servers) => {
+                let now = self.shared.now();
+                self.shared.state.borrow_mut().balancer.on_unlimited(&servers, now);
+            }
             News::Seen(samples) => self.on_report(&samples, "peer"),
             News::Config { .. } | News::Member(_) | News::State(_) | News::Leaving { .. } => {}
         }
--- a/crates/direct/src/wire/headers.rs
+++ b/crates/direct/src/wire/headers.rs
@@ -15,6 +15,8 @@
     pub part_signatures: HeaderName,
     /// The number of shards that are missing from a merged answer.
     pub missing_shards: HeaderName,
+    /// The requests per second that the server takes from all nodes together.
+    pub server_limit: HeaderName,
     /// Marks the rejection of a request that has not run.
     pub not_run: HeaderName,
 }
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -46,6 +46,7 @@
         signature: HeaderName::from_static("x-signature"),
         part_signatures: HeaderName::from_static("x-signatures"),
         missing_shards: HeaderName::from_static("x-missing"),
+        server_limit: HeaderName::from_static("x-limit"),
         not_run: HeaderName::from_static("x-refused"),
     }
 }
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -313,7 +313,11 @@
     fn on_news(&mut self, news: News, from: SocketAddr) {
         match news {
             // The gate of a server sees all of its requests and needs no reports from other nodes.
-            News::Hold { .. } | News::Member(_) | News::State(_) | News::Seen(_) => {}
+            News::Hold { .. }
+            | News::Member(_)
+            | News::State(_)
+            | News::Seen(_)
+            | News::Unlimited(_) => {}
             News::Config { stamp, in_force } => self.on_stamp(stamp, in_force, from),
             News::Leaving { server, round } => self.on_leaving(server, round),
             News::Crash { fingerprint, server, born, age_millis, is_repeat } => {
