Read the head of the configuration again after each watch

What operators of the product's own daemons would see: a configuration that is published after the platform came back from an older copy is not in force until its revision passes the lost one.

Cause: the watch asks for a revision above the last one, and revisions fall. The head is a whole value and the chain orders configurations by their lineage, so that only the watch was blind. Ruled out: an era in the product's own protocol, which has no need of one then.

Change: a watch waits for 5 s instead of 20 s, and the head is read without a revision after it. The model of the platform can come back from a copy.

--- a/crates/node/src/fleet/reader.rs
+++ b/crates/node/src/fleet/reader.rs
@@ -8,8 +8,9 @@
     platform::{self, Presence},
 };
 
-/// How long one watch of the head waits for a change.
-const WATCH_TIME: Duration = Duration::from_secs(20);
+/// How long one watch of the head waits for a change. After it the head is read without a watch,
+/// because a platform that came back from an older copy gives out revisions again.
+const WATCH_TIME: Duration = Duration::from_secs(5);
 
 /// How long to wait after a failed read.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -52,19 +53,21 @@
 }
 
 async fn watch_head(platform: platform::Client, actor: mpsc::UnboundedSender<Message>) {
-    let mut revision = 0;
+    let mut after = 0;
     let mut was_unreachable = false;
     while !actor.is_closed() {
-        match platform.watch_head(revision, WATCH_TIME).await {
-            Ok(Some((newer, head))) => {
-                revision = newer;
+        let wait = if after == 0 { Duration::ZERO } else { WATCH_TIME };
+        match platform.watch_head(after, wait).await {
+            Ok(Some((revision, head))) => {
+                after = revision;
                 was_unreachable = false;
+                // A head that is known already changes nothing.
                 let _ = actor.send(Message::Published(head));
             }
             Ok(None) => {
                 was_unreachable = false;
                 let _ = actor.send(Message::PlatformAnswered);
-                if revision == 0 {
+                if std::mem::take(&mut after) == 0 {
                     // Nothing is published yet, and the platform does not wait for a missing key.
                     tokio::time::sleep(RETRY_DELAY).await;
                 }
--- a/crates/node/tests/fleet/config_spread.rs
+++ b/crates/node/tests/fleet/config_spread.rs
@@ -75,3 +75,20 @@
     fleet.wait_in_force(after.stamp).await;
     assert_eq!(after.stamp.version, next.stamp.version + 1);
 }
+
+/// Guards against a platform that comes back from an older copy and gives out revisions again: a
+/// configuration was not seen until its revision passed that of the lost one.
+#[tokio::test]
+async fn restored_platform() {
+    let mut fleet = Fleet::start(Spec::new()).await;
+    let copy = fleet.platform.store().copy();
+    let lost = fleet.change(|set| {
+        set.rules.get_mut("rule").expect("the fixture has it").max_hits = 1;
+    });
+    fleet.wait_in_force(lost.stamp).await;
+    fleet.platform.store().restore(copy);
+    let next = fleet.change(|set| {
+        set.rules.get_mut("rule").expect("the fixture has it").max_hits = 2;
+    });
+    fleet.wait_in_force(next.stamp).await;
+}
--- a/crates/standin/src/platform/store.rs
+++ b/crates/standin/src/platform/store.rs
@@ -113,6 +113,18 @@
         self.changed.send_modify(|it| *it += 1);
     }
 
+    /// Returns a copy of all entries, for [`Store::restore`].
+    pub fn copy(&self) -> BTreeMap<String, Entry> {
+        lock(&self.entries).clone()
+    }
+
+    /// Brings the service back from an older copy: later changes are lost, and their revisions will
+    /// be given out again.
+    pub fn restore(&self, copy: BTreeMap<String, Entry>) {
+        *lock(&self.entries) = copy;
+        self.changed.send_modify(|it| *it += 1);
+    }
+
     /// Returns a receiver that is notified of every write.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
