Test that announcements of urgent changes do not grow with the fleet

With 8 and 92 nodes in four data centres a node sends 7 and 8 packets of at most 100 bytes for each urgent change that it reads, and each at most four times; late_news::bounded_announcement holds that.

--- a/crates/core/tests/direct/late_news.rs
+++ b/crates/core/tests/direct/late_news.rs
@@ -288,3 +288,30 @@
         assert!(late <= BOUND / 2, "seed {seed}: known after {late} ms");
     }
 }
+
+/// Guards against announcements that grow with the fleet: they go to two nodes of each data centre.
+#[rstest]
+#[case::small(2)]
+#[case::grown(23)]
+fn bounded_announcement(#[case] per_data_centre: usize) {
+    let mut fleet = Fleet::new(per_data_centre, 0, 0.0, 1);
+    let actions = fleet.nodes[0].peer.announce_progress(at(0));
+    let own_data_centre = (per_data_centre - 1).min(2);
+    assert_eq!(actions.len(), 2 * (DATA_CENTRES.len() - 1) + own_data_centre);
+    let sent = |actions: Vec<Action>| {
+        let packet = |it| match it {
+            Action::Send(_, packet) => Some(*packet),
+            _ => None,
+        };
+        actions.into_iter().filter_map(packet).collect::<Vec<_>>()
+    };
+    let announced = sent(actions);
+    assert!(announced.iter().all(|it| it.encode().len() <= 100));
+    let mut repeats = 0;
+    for tick in 1..100 {
+        let packets = sent(fleet.nodes[0].peer.tick(at(150 * tick), &mut fleet.rng));
+        let is_repeat = |it: &&Packet| announced.iter().any(|announced| announced.kind == it.kind);
+        repeats += packets.iter().filter(is_repeat).count();
+    }
+    assert_eq!(repeats, 3 * announced.len(), "nobody has acknowledged it");
+}
