--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -1,6 +1,8 @@
 use std::{collections::BTreeSet, sync::Arc};
 
-use super::{Fact, Hold, Position, Progress, Snapshot, Update, holds::Holds, log::Log};
+use super::{
+    Fact, Position, Progress, Restriction, Snapshot, Update, log::Log, restrictions::Restrictions,
+};
 use crate::{
     balance::Balancer,
     directory::{Change, Directory, Entry},
@@ -21,7 +23,7 @@
     plan: Option<Arc<Plan>>,
     /// The data centres that the store states as closed.
     pub(super) closed: BTreeSet<Name>,
-    pub(super) holds: Holds,
+    pub(super) restrictions: Restrictions,
     log: Log,
 }
 
@@ -37,9 +39,9 @@
     /// The store came back from an older copy, and has begun an era.
     Restored(u64),
     /// A restriction is kept although the restored store does not state it.
-    Held(Hold),
+    RestrictionKept(Restriction),
     /// The time of a kept restriction is over.
-    HoldEnded(Hold),
+    RestrictionEnded(Restriction),
     /// Facts of an earlier position than the known one were ignored.
     Ignored(Position),
 }
@@ -48,9 +50,11 @@
     /// Returns whether the change must be in force on all nodes within seconds.
     fn is_urgent(&self) -> bool {
         match self {
-            Event::Plan(_) | Event::Closed(_) | Event::Restored(_) | Event::Held(_) => true,
+            Event::Plan(_) | Event::Closed(_) | Event::Restored(_) | Event::RestrictionKept(_) => {
+                true
+            }
             Event::Server(change) => matches!(change, Change::Removed(_) | Change::Draining(_)),
-            Event::HoldEnded(_) | Event::Ignored(_) => false,
+            Event::RestrictionEnded(_) | Event::Ignored(_) => false,
         }
     }
 }
@@ -164,7 +168,7 @@
     pub fn tick(&mut self, balancer: &mut Balancer, now: Time) -> Vec<Event> {
         let changes = balancer.directory_mut().tick(now);
         let mut events = notify(changes, balancer, now);
-        events.extend(self.expire_holds(balancer, now));
+        events.extend(self.expire_restrictions(balancer, now));
         events
     }
 
@@ -249,7 +253,7 @@
                 }
                 Fact::Opened(data_centre) => {
                     closed.remove(&data_centre);
-                    self.holds.release(&Hold::Closed(data_centre));
+                    self.restrictions.release(&Restriction::Closed(data_centre));
                     None
                 }
             };
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -3,8 +3,6 @@
 //! this node.
 
 mod fact;
-mod hold;
-mod holds;
 mod lag;
 mod log;
 mod mirror;
@@ -12,15 +10,17 @@
 mod progress;
 mod reader;
 mod restore;
+mod restriction;
+mod restrictions;
 mod selector;
 
 pub use self::{
     fact::{Fact, Snapshot, Update},
-    hold::Hold,
     lag::Lag,
     mirror::{Event, Mirror},
     position::Position,
     progress::Progress,
     reader::{ANSWER_TIMEOUT, Reader, Step},
+    restriction::Restriction,
     selector::{Selector, Upstream},
 };
--- a/crates/core/src/feed/restore.rs
+++ b/crates/core/src/feed/restore.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use super::{Event, Hold, Mirror};
+use super::{Event, Mirror, Restriction};
 use crate::{balance::Balancer, directory::Entry, member::News, name::Name, time::Time};
 
 impl Mirror {
@@ -24,65 +24,65 @@
         balancer: &mut Balancer,
         now: Time,
     ) -> Vec<Event> {
-        let mut holds = Vec::new();
+        let mut kept = Vec::new();
         let known_closed =
-            self.closed.union(&self.holds.closed()).cloned().collect::<BTreeSet<_>>();
-        holds.extend(known_closed.difference(closed).cloned().map(Hold::Closed));
+            self.closed.union(&self.restrictions.closed()).cloned().collect::<BTreeSet<_>>();
+        kept.extend(known_closed.difference(closed).cloned().map(Restriction::Closed));
         let directory = balancer.directory_mut();
-        let mut retired = self.holds.retired();
+        let mut retired = self.restrictions.retired();
         retired.extend(directory.retired().map(|(id, born)| (id.clone(), born)));
         for entry in entries {
             if let Some(known) = directory.get(&entry.id).filter(|it| it.born > entry.born) {
                 *entry = (**known).clone();
             }
             if !entry.is_draining && retired.get(&entry.id) == Some(&entry.born) {
-                holds.push(Hold::Retired { server: entry.id.clone(), born: entry.born });
+                kept.push(Restriction::Retired { server: entry.id.clone(), born: entry.born });
             }
         }
         directory.on_store_restored(now);
         let mut events = vec![Event::Restored(era)];
-        for hold in holds {
-            self.holds.add(hold.clone(), now);
-            events.push(Event::Held(hold));
+        for restriction in kept {
+            self.restrictions.add(restriction.clone(), now);
+            events.push(Event::RestrictionKept(restriction));
         }
         self.apply_retired(balancer);
         events
     }
 
     /// Keeps a restriction that another node keeps for `left`.
-    pub fn on_hold(
+    pub fn on_restriction(
         &mut self,
-        hold: Hold,
+        restriction: Restriction,
         left: Duration,
         balancer: &mut Balancer,
         now: Time,
     ) -> Vec<Event> {
-        if !self.holds.merge(hold.clone(), left, now) {
+        if !self.restrictions.merge(restriction.clone(), left, now) {
             return Vec::new();
         }
-        let mut events = vec![Event::Held(hold)];
+        let mut events = vec![Event::RestrictionKept(restriction)];
         self.apply_retired(balancer);
         events.extend(self.apply_closed(balancer));
         events
     }
 
     /// Returns the next kept restrictions to repeat to other nodes.
-    pub fn next_holds(&mut self, now: Time) -> Vec<News> {
-        self.holds.next_news(now)
+    pub fn next_restrictions(&mut self, now: Time) -> Vec<News> {
+        self.restrictions.next_news(now)
     }
 
     /// Returns the room that packets keep for kept restrictions, in bytes.
-    pub fn hold_bytes(&self) -> usize {
-        self.holds.news_bytes()
+    pub fn restriction_bytes(&self) -> usize {
+        self.restrictions.news_bytes()
     }
 
     /// Ends the restrictions whose time is over.
-    pub(super) fn expire_holds(&mut self, balancer: &mut Balancer, now: Time) -> Vec<Event> {
-        let ended = self.holds.expire(now);
+    pub(super) fn expire_restrictions(&mut self, balancer: &mut Balancer, now: Time) -> Vec<Event> {
+        let ended = self.restrictions.expire(now);
         if ended.is_empty() {
             return Vec::new();
         }
-        let mut events: Vec<_> = ended.into_iter().map(Event::HoldEnded).collect();
+        let mut events: Vec<_> = ended.into_iter().map(Event::RestrictionEnded).collect();
         self.apply_retired(balancer);
         events.extend(self.apply_closed(balancer));
         events
@@ -91,7 +91,7 @@
     /// Closes the data centres that the store states as closed or that are kept closed. Returns the
     /// change, if there is any.
     pub(super) fn apply_closed(&self, balancer: &mut Balancer) -> Option<Event> {
-        let closed: BTreeSet<_> = self.closed.union(&self.holds.closed()).cloned().collect();
+        let closed: BTreeSet<_> = self.closed.union(&self.restrictions.closed()).cloned().collect();
         let is_same = closed.len() == balancer.closed().len()
             && closed.iter().all(|it| balancer.closed().contains(it));
         if is_same {
@@ -102,7 +102,7 @@
     }
 
     fn apply_retired(&self, balancer: &mut Balancer) {
-        let retired: HashMap<_, _> = self.holds.retired();
+        let retired: HashMap<_, _> = self.restrictions.retired();
         balancer.set_retired(retired);
     }
 }
--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -2,7 +2,7 @@
 
 use super::{Mark, Record, State};
 use crate::{
-    balance::Sample, config::Stamp, feed::Hold, fingerprint::Fingerprint, name::Name,
+    balance::Sample, config::Stamp, feed::Restriction, fingerprint::Fingerprint, name::Name,
     quarantine::Crash,
 };
 
@@ -41,9 +41,9 @@
         is_repeat: bool,
     },
     /// A restriction that is kept although the restored store does not state it.
-    Hold {
+    Restriction {
         /// The restriction.
-        hold: Hold,
+        restriction: Restriction,
         /// How much longer the sender keeps it, in milliseconds.
         left_millis: u32,
     },
@@ -67,7 +67,7 @@
             News::Member(record) => record.state == State::Leaving,
             News::State(mark) => matches!(mark.state, State::Leaving | State::Dead),
             News::Config { .. } | News::Leaving { .. } | News::Crash { .. } => true,
-            News::Hold { .. } | News::Seen(_) | News::Unlimited(_) => false,
+            News::Restriction { .. } | News::Seen(_) | News::Unlimited(_) => false,
         }
     }
 
--- a/crates/core/tests/direct/restored_store.rs
+++ b/crates/core/tests/direct/restored_store.rs
@@ -5,7 +5,9 @@
 use mimosabridge::{
     balance::Balancer,
     directory::{Change, Entry},
-    feed::{Event, Fact, Hold, Lag, Mirror, Position, Progress, Reader, Snapshot, Step, Update},
+    feed::{
+        Event, Fact, Lag, Mirror, Position, Progress, Reader, Restriction, Snapshot, Step, Update,
+    },
     member::News,
     name::Name,
     plan::{Limits, Spec},
@@ -65,10 +67,12 @@
 
     /// Receives the restrictions that `peer` repeats in a packet.
     fn hear(&mut self, peer: &mut Node, now: Time) {
-        for news in peer.mirror.next_holds(now) {
-            let News::Hold { hold, left_millis } = news else { panic!("not a hold: {news:?}") };
+        for news in peer.mirror.next_restrictions(now) {
+            let News::Restriction { restriction, left_millis } = news else {
+                panic!("not a restriction: {news:?}")
+            };
             let left = Duration::from_millis(left_millis.into());
-            self.mirror.on_hold(hold, left, &mut self.balancer, now);
+            self.mirror.on_restriction(restriction, left, &mut self.balancer, now);
         }
     }
 
@@ -153,7 +157,10 @@
     let mut node = Node::new(1, 100, &[server(1)]);
     node.watch(101, &[closed("a")], at(0));
     let events = node.list(2, 60, &[server(1)], at(1_000));
-    assert_eq!(events, [Event::Restored(2), Event::Held(Hold::Closed(Name::new("a")))]);
+    assert_eq!(
+        events,
+        [Event::Restored(2), Event::RestrictionKept(Restriction::Closed(Name::new("a")))]
+    );
     node.tick(at(10_000));
     assert!(node.is_closed("a"), "the operator may need seconds to write it again");
     node.watch(61, &[closed("a")], at(11_000));
@@ -168,8 +175,8 @@
     let mut node = Node::new(1, 100, &[closed("a")]);
     node.list(2, 60, &[], at(1_000));
     let ended = node.tick(at(20_000));
-    let hold = Hold::Closed(Name::new("a"));
-    assert_eq!(ended, [Event::HoldEnded(hold), Event::Closed(Vec::new())]);
+    let restriction = Restriction::Closed(Name::new("a"));
+    assert_eq!(ended, [Event::RestrictionEnded(restriction), Event::Closed(Vec::new())]);
 }
 
 #[test]
@@ -332,7 +339,10 @@
     let mut node = Node::new(1, 100, &[plan(6), closed("a")]);
     node.list(2, 60, &[plan(5)], at(0));
     let events = node.list(4, 30, &[plan(4)], at(10_000));
-    assert_eq!(events, [Event::Restored(4), Event::Held(Hold::Closed(Name::new("a")))]);
+    assert_eq!(
+        events,
+        [Event::Restored(4), Event::RestrictionKept(Restriction::Closed(Name::new("a")))]
+    );
     node.tick(at(20_000));
     assert!(node.is_closed("a"), "the operator gets as much time again");
     assert_eq!(node.version(), 6);
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -44,7 +44,7 @@
 /// The store came back from an older copy.
 pub const RESTORED: Event = Event::new(5113, Level::Warn, "store restored");
 /// A restriction that the restored store does not state is kept, or no longer kept.
-pub const HELD: Event = Event::new(5114, Level::Info, "restriction held");
+pub const RESTRICTION: Event = Event::new(5114, Level::Info, "restriction kept");
 /// Facts were ignored because later ones are known.
 pub const IGNORED: Event = Event::new(5115, Level::Info, "older facts ignored");
 /// The answer to a watch does not continue what is known.
@@ -88,7 +88,7 @@
     SUSPECT,
     EVIDENCE_DROPPED,
     RESTORED,
-    HELD,
+    RESTRICTION,
     IGNORED,
     DISCONTINUED,
     LIMIT,
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -134,8 +134,12 @@
                     self.metrics.store_era.set(*began as i64);
                     emit(&events::RESTORED, "began", began);
                 }
-                Event::Held(hold) => emit(&events::HELD, "begun", &format_args!("{hold:?}")),
-                Event::HoldEnded(hold) => emit(&events::HELD, "ended", &format_args!("{hold:?}")),
+                Event::RestrictionKept(kept) => {
+                    emit(&events::RESTRICTION, "begun", &format_args!("{kept:?}"))
+                }
+                Event::RestrictionEnded(ended) => {
+                    emit(&events::RESTRICTION, "ended", &format_args!("{ended:?}"))
+                }
                 Event::Ignored(position) => {
                     emit(&events::IGNORED, "position", &format_args!("{position:?}"));
                 }
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -248,7 +248,7 @@
         let actions = {
             let mut peer = self.peer.borrow_mut();
             let state = self.shared.state.borrow();
-            peer.set_reserve(state.quarantine.news_bytes() + state.mirror.hold_bytes());
+            peer.set_reserve(state.quarantine.news_bytes() + state.mirror.restriction_bytes());
             drop(state);
             if tick.late >= PAUSE_THRESHOLD {
                 peer.on_pause(tick.now);
@@ -302,7 +302,7 @@
                     if packet.is_probe() {
                         let state = &mut *self.shared.state.borrow_mut();
                         let now = self.shared.now();
-                        packet.fill(state.mirror.next_holds(now).into_iter());
+                        packet.fill(state.mirror.next_restrictions(now).into_iter());
                         packet.fill(state.quarantine.next_news(now).into_iter());
                     }
                     let bytes = packet.encode();
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -65,12 +65,12 @@
                 let age = Duration::from_millis(age_millis.into());
                 self.shared.on_peer_crash(fingerprint, Crash { server, born, age, is_repeat });
             }
-            News::Hold { hold, left_millis } => {
+            News::Restriction { restriction, left_millis } => {
                 let left = Duration::from_millis(left_millis.into());
                 let now = self.shared.now();
                 let changes = {
                     let state = &mut *self.shared.state.borrow_mut();
-                    state.mirror.on_hold(hold, left, &mut state.balancer, now)
+                    state.mirror.on_restriction(restriction, left, &mut state.balancer, now)
                 };
                 self.shared.on_changes(&changes, "peer");
             }
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -313,7 +313,7 @@
     fn on_news(&mut self, news: News, from: SocketAddr) {
         match news {
             // The gate of a server sees all of its requests and needs no reports from other nodes.
-            News::Hold { .. }
+            News::Restriction { .. }
             | News::Member(_)
             | News::State(_)
             | News::Seen(_)
