Play fleets whose store comes back from older copies again and again

No version may revert or be late, no stop, removal or evacuation may be undone, and all nodes must agree in the end.

--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod merged_records;
 mod mirror_updates;
 mod planned_stop;
+mod restored_fleet;
 mod restored_store;
 mod rule_lookup;
 mod run_steps;
