--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -205,10 +205,8 @@
                 continue;
             }
             let server = self.servers.entry(entry.id.clone()).or_default();
-            if server.is_down(now) || server.running() >= max {
-                continue;
-            }
-            if !server.has_credit(purpose, self.nodes, now) {
+            let has_room = server.running() < max && server.has_credit(purpose, self.nodes, now);
+            if server.is_down(now) || !has_room {
                 continue;
             }
             let is_cold = server.is_cold(now);
@@ -287,7 +285,6 @@
     /// whether it newly has or no longer has a limit. An answer to a request that was sent before the
     /// last statement shows nothing of the end of the limit.
     pub fn on_stated(&mut self, id: &Name, stated: Stated, sent: Time, now: Time) -> bool {
-        let phase = self.rng.random::<f64>();
         let Some(server) = self.servers.get_mut(id) else { return false };
         let quota = server.quota_mut();
         match (stated, &mut *quota) {
@@ -296,7 +293,7 @@
                 false
             }
             (Stated::Limit(limit), None) => {
-                *quota = Some(Quota::new(limit, phase, now));
+                *quota = Some(Quota::new(limit, self.rng.random(), now));
                 true
             }
             (Stated::NoLimit, Some(known)) if sent >= known.stated() => {
--- a/crates/core/src/balance/quota.rs
+++ b/crates/core/src/balance/quota.rs
@@ -38,11 +38,6 @@
         Quota { limit, credit: phase, updated: now, stated: now }
     }
 
-    /// Returns the requests per second that the server takes from all nodes together.
-    pub fn limit(&self) -> f64 {
-        self.limit
-    }
-
     /// Returns when the server last stated the limit.
     pub fn stated(&self) -> Time {
         self.stated
--- a/crates/core/src/feed/restore.rs
+++ b/crates/core/src/feed/restore.rs
@@ -5,10 +5,7 @@
 //! start, and what forbids requests is kept for a while: breaking it would be worse than a server
 //! too few.
 
-use std::{
-    collections::{BTreeSet, HashMap},
-    time::Duration,
-};
+use std::{collections::BTreeSet, time::Duration};
 
 use super::{Event, Mirror, Restriction};
 use crate::{balance::Balancer, directory::Entry, member::News, name::Name, time::Time};
@@ -24,10 +21,8 @@
         balancer: &mut Balancer,
         now: Time,
     ) -> Vec<Event> {
-        let mut kept = Vec::new();
-        let known_closed =
-            self.closed.union(&self.restrictions.closed()).cloned().collect::<BTreeSet<_>>();
-        kept.extend(known_closed.difference(closed).cloned().map(Restriction::Closed));
+        let lacking = self.all_closed().into_iter().filter(|it| !closed.contains(it));
+        let mut kept: Vec<_> = lacking.map(Restriction::Closed).collect();
         let directory = balancer.directory_mut();
         let mut retired = self.restrictions.retired();
         retired.extend(directory.retired().map(|(id, born)| (id.clone(), born)));
@@ -91,18 +86,21 @@
     /// Closes the data centres that the store states as closed or that are kept closed. Returns the
     /// change, if there is any.
     pub(super) fn apply_closed(&self, balancer: &mut Balancer) -> Option<Event> {
-        let closed: BTreeSet<_> = self.closed.union(&self.restrictions.closed()).cloned().collect();
-        let is_same = closed.len() == balancer.closed().len()
-            && closed.iter().all(|it| balancer.closed().contains(it));
-        if is_same {
+        let all = self.all_closed();
+        let closed = all.iter().cloned().collect();
+        if closed == *balancer.closed() {
             return None;
         }
-        balancer.set_closed(closed.iter().cloned().collect());
-        Some(Event::Closed(closed.into_iter().collect()))
+        balancer.set_closed(closed);
+        Some(Event::Closed(all.into_iter().collect()))
     }
 
     fn apply_retired(&self, balancer: &mut Balancer) {
-        let retired: HashMap<_, _> = self.restrictions.retired();
-        balancer.set_retired(retired);
+        balancer.set_retired(self.restrictions.retired());
+    }
+
+    /// Returns the data centres that the store states as closed or that are kept closed.
+    fn all_closed(&self) -> BTreeSet<Name> {
+        self.closed.union(&self.restrictions.closed()).cloned().collect()
     }
 }
