Ask a server with a limit of next to nothing less often

LIMIT, found by more seeds of our own test by hand: with 91 nodes and a limit of 0, one of 300 minutes has 6 requests in four seconds, 5 allowed (limit_exceeded, limit 0, 400 requests a second, seed 55).

Cause: one request in four seconds, which finds the end of the limit, meets others by chance. Change: one in ten seconds.

Before: the case fails at seed 55. After: none of 1,000 minutes each of the 24 cases breaks the bound.

--- a/crates/core/src/balance/quota.rs
+++ b/crates/core/src/balance/quota.rs
@@ -14,7 +14,7 @@
 
 /// The least rate to a limited server, in requests per second of all nodes together. Only an answer
 /// shows that the limit has ended.
-const MIN_RATE: f64 = 0.25;
+const MIN_RATE: f64 = 0.1;
 
 /// The share of this node in the rate that a server takes from all nodes together.
 ///
--- a/crates/core/tests/direct/stated_limits.rs
+++ b/crates/core/tests/direct/stated_limits.rs
@@ -121,6 +121,11 @@
     }
 }
 
+/// Returns the number of seeds to play. More are played by hand: `STATED_LIMITS_SEEDS=300`.
+fn seeds() -> u64 {
+    std::env::var("STATED_LIMITS_SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(6)
+}
+
 /// Guards against nodes that each keep to the limit, or that all send what they have saved: together
 /// they exceed it.
 #[rstest]
@@ -129,7 +134,7 @@
     #[values(0.0, 1.2, 6.7, 33.0)] limit: f64,
     #[values(20.0, 400.0)] per_second: f64,
 ) {
-    for seed in 0..6 {
+    for seed in 0..seeds() {
         let counted = Fleet::new(nodes, limit, seed).run(per_second);
         let in_span =
             |from: u64| counted.iter().filter(|it| (from..from + SPAN).contains(it)).count();
