Stop asking for facts that no node has

If the only node that had it stops after the store has lost it, all nodes would ask for good.

The lag's part of the exchange, the limits and the forbidden servers of the balancer get files of their own; their code is moved, not changed.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use super::{
-    Baseline, Estimate, Observation, Purpose, Quota, Sample, Server, Settings, Stated,
+    Baseline, Estimate, Observation, Purpose, Sample, Server, Settings,
     cost::{admits, cost},
 };
 use crate::{
@@ -29,13 +29,6 @@
 /// The most servers in one report to other nodes: as many as fit in a packet.
 const MAX_SAMPLES: usize = 36;
 
-/// The most ended limits in one report to other nodes: as many as fit in a packet.
-const MAX_UNLIMITED: usize = 50;
-
-/// How long ago this node must have received the statement of a limit for another node's word that
-/// it has ended: reports are sent several times a second, and may be late.
-const MIN_STATED_AGE: Duration = Duration::from_secs(1);
-
 /// The greatest random share added to a cost, so that nodes do not all choose the same server.
 const JITTER: f64 = 0.1;
 
@@ -43,20 +36,20 @@
 #[derive(Clone, Debug)]
 pub struct Balancer {
     settings: Settings,
-    nodes: u32,
-    directory: Directory,
-    servers: HashMap<Name, Server>,
+    pub(super) nodes: u32,
+    pub(super) directory: Directory,
+    pub(super) servers: HashMap<Name, Server>,
     /// The names of the servers by their hashes, which reports carry.
-    keys: HashMap<u32, Name>,
+    pub(super) keys: HashMap<u32, Name>,
     baselines: HashMap<Name, Baseline>,
     windows: HashMap<Name, Window>,
     splits: HashMap<Name, Vec<f64>>,
-    closed: HashSet<Name>,
+    pub(super) closed: HashSet<Name>,
     /// Servers that must get no requests although their entries allow it, with their start.
-    retired: HashMap<Name, u64>,
+    pub(super) retired: HashMap<Name, u64>,
     /// The servers whose limits have ended, as this node observed, since the last report.
-    unlimited: Vec<u32>,
-    rng: SmallRng,
+    pub(super) unlimited: Vec<u32>,
+    pub(super) rng: SmallRng,
 }
 
 impl Balancer {
@@ -98,27 +91,6 @@
         self.nodes
     }
 
-    /// Sets the data centres whose servers must get no requests.
-    pub fn set_closed(&mut self, closed: HashSet<Name>) {
-        self.closed = closed;
-    }
-
-    /// Returns the data centres whose servers must get no requests.
-    pub fn closed(&self) -> &HashSet<Name> {
-        &self.closed
-    }
-
-    /// Sets the servers that must get no requests although their entries allow it, with the start
-    /// that this holds for.
-    pub fn set_retired(&mut self, retired: HashMap<Name, u64>) {
-        self.retired = retired;
-    }
-
-    /// Returns whether requests may be sent to a server.
-    pub fn is_usable(&self, id: &Name) -> bool {
-        self.directory.get(id).is_some_and(|it| self.may_receive(it))
-    }
-
     /// Records a change of the directory.
     pub fn on_change(&mut self, change: &Change, now: Time) {
         match change {
@@ -281,46 +253,6 @@
         }
     }
 
-    /// Records what a server stated in the answer to a request that was sent at `sent`. Returns
-    /// whether it newly has or no longer has a limit. An answer to a request that was sent before the
-    /// last statement shows nothing of the end of the limit.
-    pub fn on_stated(&mut self, id: &Name, stated: Stated, sent: Time, now: Time) -> bool {
-        let Some(server) = self.servers.get_mut(id) else { return false };
-        let quota = server.quota_mut();
-        match (stated, &mut *quota) {
-            (Stated::Limit(limit), Some(quota)) => {
-                quota.on_stated(limit, self.nodes, now);
-                false
-            }
-            (Stated::Limit(limit), None) => {
-                *quota = Some(Quota::new(limit, self.rng.random(), now));
-                true
-            }
-            (Stated::NoLimit, Some(known)) if sent >= known.stated() => {
-                *quota = None;
-                self.unlimited.push(id.key());
-                true
-            }
-            (Stated::NoLimit, _) => false,
-        }
-    }
-
-    /// Takes the servers whose limits have ended since the last call, as this node observed.
-    pub fn take_unlimited(&mut self) -> Vec<u32> {
-        let count = self.unlimited.len().min(MAX_UNLIMITED);
-        self.unlimited.drain(..count).collect()
-    }
-
-    /// Ends the limits of servers that another node has observed to have ended, unless this node
-    /// has lately received a statement itself.
-    pub fn on_unlimited(&mut self, servers: &[u32], now: Time) {
-        for key in servers {
-            let server = self.keys.get(key).and_then(|it| self.servers.get_mut(it));
-            let Some(quota) = server.map(Server::quota_mut) else { continue };
-            quota.take_if(|it| now.since(it.stated()) >= MIN_STATED_AGE);
-        }
-    }
-
     /// Takes the observations since the last call, and returns those that other nodes need, the
     /// worst first.
     pub fn report(&mut self, now: Time) -> Vec<Sample> {
@@ -370,11 +302,6 @@
         self.directory.by_service(service).filter(|it| self.may_receive(it))
     }
 
-    fn may_receive(&self, entry: &Entry) -> bool {
-        let is_retired = self.retired.get(&entry.id) == Some(&entry.born);
-        !entry.is_draining && !is_retired && !self.closed.contains(&entry.data_centre)
-    }
-
     /// Returns how many connections this node may have to one server of a service.
     fn max_connections(&self, service: &Name, plan: &Plan) -> usize {
         let all = plan.service(service).map_or(1, |it| it.connections);
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -10,6 +10,8 @@
 mod baseline;
 mod cost;
 mod estimate;
+mod forbidden;
+mod limits;
 mod meter;
 mod purpose;
 mod quota;
--- a/crates/core/src/feed/lag.rs
+++ b/crates/core/src/feed/lag.rs
@@ -17,6 +17,10 @@
 /// The pause after a peer was asked and had nothing new.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// How often in a row peers may have nothing new before this node forgets that one was ahead: the
+/// only node that knew more may have stopped.
+const MAX_VAIN_ASKS: u32 = 10;
+
 /// Tracks whether a peer knows later facts than this node, and when to ask a peer for them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lag {
@@ -28,6 +32,8 @@
     urgent_since: Time,
     /// No peer is asked before.
     not_before: Time,
+    /// How often in a row peers had nothing new.
+    vain_asks: u32,
 }
 
 impl Lag {
@@ -71,5 +77,14 @@
     /// Records that a peer was asked and had nothing new.
     pub fn on_nothing_new(&mut self, now: Time) {
         self.not_before = now + RETRY_PAUSE;
+        self.vain_asks += 1;
+        if self.vain_asks >= MAX_VAIN_ASKS {
+            *self = Lag { not_before: self.not_before, ..Lag::default() };
+        }
+    }
+
+    /// Records that a peer was asked and had an update.
+    pub fn on_update(&mut self) {
+        self.vain_asks = 0;
     }
 }
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -151,3 +151,21 @@
     };
     assert!(wait <= Duration::from_secs(2), "a watch of {wait:?} outlives the store for too long");
 }
+
+/// Guards against asking for good for what no node has: the only node that knew a version may have
+/// stopped after the store had lost it.
+#[test]
+fn nobody_has_it() {
+    let mut lag = Lag::new();
+    let known = progress(7, 0);
+    lag.on_peer(Progress { version: 6, ..known }, &known, at(0));
+    let mut asked = 0;
+    while let Some(due) = lag.due(&known, false) {
+        asked += 1;
+        assert!(asked <= 20, "a peer is asked again and again");
+        lag.on_nothing_new(due);
+    }
+    assert!(asked >= 5, "other peers may have it");
+    assert!(lag.on_peer(Progress { version: 6, ..known }, &known, at(9_000)));
+    assert!(lag.due(&known, false).is_some(), "a node that has it is asked");
+}
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -36,6 +36,7 @@
     loop {
         exchange.wait_until_due().await;
         if fetch_from_peer(shared, exchange).await {
+            exchange.on_update();
             return;
         }
         exchange.on_nothing_new();
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -40,7 +40,7 @@
 /// The communication of this node with the others. Clones are handles to the same exchange.
 #[derive(Clone)]
 pub struct Exchange {
-    inner: Rc<Inner>,
+    pub(super) inner: Rc<Inner>,
 }
 
 /// The state that the handles to an exchange share.
@@ -56,7 +56,7 @@
     /// Where the node takes calls that was last heard of being ahead of this one.
     pub(super) ahead: Cell<Option<SocketAddr>>,
     /// Whether this node follows a reader.
-    is_follower: Cell<bool>,
+    pub(super) is_follower: Cell<bool>,
     pub(super) waiting: RefCell<Waitlist>,
     pub(super) next_report: Cell<Time>,
     pub(super) size_estimator: SizeEstimator,
@@ -142,11 +142,6 @@
         self.inner.act(actions);
     }
 
-    /// Records that this node reads the store now.
-    pub fn on_read(&self) {
-        self.inner.lag.borrow_mut().on_read(self.inner.shared.now());
-    }
-
     /// Returns the RPC address of the node that was last heard of being ahead of this one, or of a
     /// random live node if that one was asked already.
     pub fn peer_to_ask(&self) -> Option<SocketAddr> {
@@ -160,39 +155,6 @@
         others.map(|it| it.rpc).choose(&mut *self.inner.rng.borrow_mut())
     }
 
-    /// Waits until a peer is ahead of this node.
-    pub async fn wait_until_behind(&self) {
-        loop {
-            let notified = self.inner.peer_ahead.notified();
-            if self.inner.ask_due().is_some() {
-                return;
-            }
-            notified.await;
-        }
-    }
-
-    /// Waits until a peer has been ahead of this node for so long that one should be asked.
-    pub async fn wait_until_due(&self) {
-        loop {
-            self.wait_until_behind().await;
-            let notified = self.inner.peer_ahead.notified();
-            let Some(due) = self.inner.ask_due() else { continue };
-            if due <= self.inner.shared.now() {
-                return;
-            }
-            tokio::select! {
-                () = tokio::time::sleep_until(self.inner.shared.clock.instant(due)) => {}
-                // What peers know may have become urgent.
-                () = notified => {}
-            }
-        }
-    }
-
-    /// Records that a peer was asked and had nothing new.
-    pub fn on_nothing_new(&self) {
-        self.inner.lag.borrow_mut().on_nothing_new(self.inner.shared.now());
-    }
-
     /// Announces to the other nodes that this node stops.
     pub fn leave(&self) {
         let now = self.inner.shared.now();
@@ -263,25 +225,10 @@
     }
 
     /// Returns up to where this node knows the published facts.
-    fn progress(&self) -> Progress {
+    pub(super) fn progress(&self) -> Progress {
         self.shared.state.borrow().mirror.progress()
     }
 
-    /// Returns when to ask a peer, if one is ahead of this node.
-    fn ask_due(&self) -> Option<Time> {
-        self.lag.borrow().due(&self.progress(), self.is_follower.get())
-    }
-
-    /// Handles the progress of another node, which takes calls at an address.
-    fn on_progress(&self, progress: Progress, rpc: SocketAddr) {
-        let known = self.progress();
-        let now = self.shared.now();
-        if self.lag.borrow_mut().on_peer(progress, &known, now) {
-            self.ahead.set(Some(rpc));
-            self.peer_ahead.notify_waiters();
-        }
-    }
-
     /// Updates the estimated number of nodes that share the servers.
     fn update_node_count(&self, now: Time) {
         let known = self.peer.borrow().roster().records().count() as u32;
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -3,6 +3,7 @@
 
 mod exchange;
 mod fetch;
+mod lag;
 mod news;
 mod rpc;
 mod waitlist;
