--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -143,9 +143,9 @@
         self.candidates(service).filter_map(estimate).min()
     }
 
-    /// Returns the earliest time at which a server of a service may be tried by any node, which lies
-    /// ahead only if all are down or have used up their limits. Returns `None` if the service has no
-    /// server.
+    /// Returns the earliest time at which a server of a service may be tried by any node, which
+    /// lies ahead only if all are down or have used up their limits. Returns `None` if the service
+    /// has no server.
     pub fn available_at(&self, service: &Name, now: Time) -> Option<Time> {
         let available = |entry: &Arc<Entry>| {
             let Some(server) = self.servers.get(&entry.id) else { return Time::ZERO };
--- a/crates/core/src/balance/limits.rs
+++ b/crates/core/src/balance/limits.rs
@@ -14,8 +14,8 @@
 
 impl Balancer {
     /// Records what a server stated in the answer to a request that was sent at `sent`. Returns
-    /// whether it newly has or no longer has a limit. An answer to a request that was sent before the
-    /// last statement shows nothing of the end of the limit.
+    /// whether it newly has or no longer has a limit. An answer to a request that was sent before
+    /// the last statement shows nothing of the end of the limit.
     pub fn on_stated(&mut self, id: &Name, stated: Stated, sent: Time, now: Time) -> bool {
         let Some(server) = self.servers.get_mut(id) else { return false };
         let quota = server.quota_mut();
--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -80,8 +80,8 @@
         self.unavailable_since.get_or_insert(now);
     }
 
-    /// Records that the store answered a peer at `contact`. That shows nothing if this node lost the
-    /// store later.
+    /// Records that the store answered a peer at `contact`. That shows nothing if this node lost
+    /// the store later.
     pub fn on_peer_contact(&mut self, contact: Time, now: Time) {
         if self.unavailable_since.is_some_and(|it| contact > it) {
             self.on_store_available(now);
--- a/crates/core/src/feed/restore.rs
+++ b/crates/core/src/feed/restore.rs
@@ -1,9 +1,9 @@
 //! What the mirror keeps when the store comes back from an older copy.
 //!
-//! The copy lacks what was acknowledged after it was made. Until its authors have written that again,
-//! what it says is older than what nodes know. A configuration counts by its version, a server by its
-//! start, and what forbids requests is kept for a while: breaking it would be worse than a server
-//! too few.
+//! The copy lacks what was acknowledged after it was made. Until its authors have written that
+//! again, what it says is older than what nodes know. A configuration counts by its version, a
+//! server by its start, and what forbids requests is kept for a while: breaking it would be worse
+//! than a server too few.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -11,8 +11,8 @@
 use crate::{balance::Balancer, directory::Entry, member::News, name::Name, time::Time};
 
 impl Mirror {
-    /// Prepares the mirror for the list of a store that has begun an era: keeps the restrictions that
-    /// the list lacks, and replaces entries of earlier starts of servers.
+    /// Prepares the mirror for the list of a store that has begun an era: keeps the restrictions
+    /// that the list lacks, and replaces entries of earlier starts of servers.
     pub(super) fn restore(
         &mut self,
         era: u64,
--- a/crates/core/src/feed/restrictions.rs
+++ b/crates/core/src/feed/restrictions.rs
@@ -10,7 +10,8 @@
 /// after three silent intervals; operators get the rest of the time.
 const KEEP_TIME: Duration = Duration::from_secs(15);
 
-/// A restriction with less time left is not repeated to other nodes, which may just have dropped it.
+/// A restriction with less time left is not repeated to other nodes, which may just have dropped
+/// it.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(500);
 
 /// The most restrictions in one packet.
--- a/crates/core/src/retry/window.rs
+++ b/crates/core/src/retry/window.rs
@@ -17,7 +17,8 @@
 /// it replaces may have used the rest, and its count is lost.
 const STARTED_SHARE: f64 = 0.2;
 
-/// A process that has just started may know only one in this many of the nodes that share the burst.
+/// A process that has just started may know only one in this many of the nodes that share the
+/// burst.
 const UNKNOWN_FACTOR: f64 = 4.0;
 
 /// The share of the limit that hedges leave to retries, which replace lost attempts.
