--- a/crates/core/tests/direct/fixture.rs
+++ b/crates/core/tests/direct/fixture.rs
@@ -129,6 +129,12 @@
     }
 }
 
+/// Returns the number of seeds to play: that of an environment variable, for runs by hand, or
+/// `default`.
+pub fn seeds(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|it| it.parse().ok()).unwrap_or(default)
+}
+
 /// Returns the attempts among the actions.
 pub fn sends(actions: &[Action]) -> Vec<Attempt> {
     let attempt = |it: &Action| match it {
--- a/crates/core/tests/direct/restored_fleet.rs
+++ b/crates/core/tests/direct/restored_fleet.rs
@@ -15,7 +15,7 @@
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::IteratorRandom};
 use rstest::rstest;
 
-use crate::fixture::{entry, settings};
+use crate::fixture::{entry, seeds, settings};
 
 const STEP: u64 = 50;
 
@@ -324,18 +324,13 @@
     }
 }
 
-/// Returns the number of seeds to play. More are played by hand: `RESTORED_FLEET_SEEDS=2000`.
-fn seeds() -> u64 {
-    std::env::var("RESTORED_FLEET_SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(20)
-}
-
 /// Guards against any promise that a restored store breaks: a version that reverts or is late, a
 /// stop, a removal or an evacuation that is undone, and nodes that disagree for good.
 #[rstest]
 #[case::small(4)]
 #[case::larger(12)]
 fn promises_kept(#[case] nodes: usize) {
-    for seed in 0..seeds() {
+    for seed in 0..seeds("RESTORED_FLEET_SEEDS", 20) {
         World::new(nodes, seed).run(seed);
     }
 }
--- a/crates/core/tests/direct/stated_limits.rs
+++ b/crates/core/tests/direct/stated_limits.rs
@@ -14,7 +14,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use rstest::rstest;
 
-use crate::fixture::{Node, at, entry, rule, sends, service, settings, verdict};
+use crate::fixture::{Node, at, entry, rule, seeds, sends, service, settings, verdict};
 
 /// The span over which the platform counts, in milliseconds.
 const SPAN: u64 = 4_000;
@@ -121,11 +121,6 @@
     }
 }
 
-/// Returns the number of seeds to play. More are played by hand: `STATED_LIMITS_SEEDS=300`.
-fn seeds() -> u64 {
-    std::env::var("STATED_LIMITS_SEEDS").ok().and_then(|it| it.parse().ok()).unwrap_or(6)
-}
-
 /// Guards against nodes that each keep to the limit, or that all send what they have saved: together
 /// they exceed it.
 #[rstest]
@@ -134,7 +129,7 @@
     #[values(0.0, 1.2, 6.7, 33.0)] limit: f64,
     #[values(20.0, 400.0)] per_second: f64,
 ) {
-    for seed in 0..seeds() {
+    for seed in 0..seeds("STATED_LIMITS_SEEDS", 6) {
         let counted = Fleet::new(nodes, limit, seed).run(per_second);
         let in_span =
             |from: u64| counted.iter().filter(|it| (from..from + SPAN).contains(it)).count();
