Update the mirror in one place

A clean-up from a last reading of the diff: the same lines that borrow the state and hand the mirror the balancer and the time stood at four places. Two derives that nothing uses go.

--- a/crates/core/src/feed/position.rs
+++ b/crates/core/src/feed/position.rs
@@ -4,9 +4,7 @@
 ///
 /// Revisions are comparable within one era only: a store that comes back from an older copy gives
 /// out revisions again, and begins a new era. Positions compare by era first.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Position {
     /// How often the store has come back from an older copy; zero if the store does not say.
     pub era: u64,
--- a/crates/core/src/feed/restriction.rs
+++ b/crates/core/src/feed/restriction.rs
@@ -4,7 +4,7 @@
 
 /// A restriction that was published before the store came back from an older copy. It is kept for a
 /// while although the copy lacks it, until its author has had time to publish it again.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Restriction {
     /// The servers of a data centre must not receive requests.
     Closed(Name),
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -94,10 +94,8 @@
     address: SocketAddr,
     age: Duration,
 ) {
-    let changes = {
-        let state = &mut *shared.state.borrow_mut();
-        state.mirror.apply(known, update, &mut state.balancer, shared.now())
-    };
+    let changes =
+        shared.update_mirror(|mirror, balancer, now| mirror.apply(known, update, balancer, now));
     let position = shared.state.borrow().mirror.position();
     events::FETCHED.emit(&[
         ("peer", &address),
--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -1,6 +1,7 @@
 use mimosabridge::{
     balance::Balancer,
     feed::{ANSWER_TIMEOUT, Event, Mirror, Position, Reader, Snapshot, Step},
+    time::Time,
 };
 
 use super::{Source, SourceError, catch_up};
@@ -62,8 +63,8 @@
     match result {
         Ok(snapshot) => {
             on_answer(shared, exchange, reader);
-            apply(shared, exchange, |mirror, balancer| {
-                mirror.replace(snapshot, balancer, shared.now())
+            apply(shared, exchange, |mirror, balancer, now| {
+                mirror.replace(snapshot, balancer, now)
             });
             reader.on_list(shared.now());
         }
@@ -91,8 +92,8 @@
                 return;
             }
             on_answer(shared, exchange, reader);
-            apply(shared, exchange, |mirror, balancer| {
-                mirror.extend(after, delta, balancer, shared.now())
+            apply(shared, exchange, |mirror, balancer, now| {
+                mirror.extend(after, delta, balancer, now)
             });
             reader.on_watch(shared.now());
         }
@@ -105,16 +106,12 @@
 fn apply(
     shared: &Shared,
     exchange: &Exchange,
-    update: impl FnOnce(&mut Mirror, &mut Balancer) -> Vec<Event>,
+    update: impl FnOnce(&mut Mirror, &mut Balancer, Time) -> Vec<Event>,
 ) {
-    let (changes, is_urgent) = {
-        let state = &mut *shared.state.borrow_mut();
-        let before = state.mirror.progress();
-        let changes = update(&mut state.mirror, &mut state.balancer);
-        (changes, state.mirror.progress().is_urgent_for(&before))
-    };
+    let before = shared.state.borrow().mirror.progress();
+    let changes = shared.update_mirror(update);
     shared.on_changes(&changes, "store");
-    if is_urgent {
+    if shared.state.borrow().mirror.progress().is_urgent_for(&before) {
         exchange.announce_progress();
     }
 }
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -124,9 +124,6 @@
     }
     shared.pool.expire(tick.now);
     shared.expire_evidence(tick.now);
-    let changes = {
-        let state = &mut *shared.state.borrow_mut();
-        state.mirror.tick(&mut state.balancer, tick.now)
-    };
+    let changes = shared.update_mirror(|mirror, balancer, _| mirror.tick(balancer, tick.now));
     shared.on_changes(&changes, "time");
 }
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -101,6 +101,17 @@
         self.is_ready.store(is_configured && state.stop.is_none(), Ordering::Relaxed);
     }
 
+    /// Updates the mirror and the servers, as of now. Returns the changes, for
+    /// [`Shared::on_changes`].
+    pub fn update_mirror(
+        &self,
+        update: impl FnOnce(&mut Mirror, &mut Balancer, Time) -> Vec<Event>,
+    ) -> Vec<Event> {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        update(&mut state.mirror, &mut state.balancer, now)
+    }
+
     /// Logs changes of the mirror with their source, and updates the metrics and the readiness.
     pub fn on_changes(&self, changes: &[Event], source: &str) {
         if changes.is_empty() {
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -67,11 +67,9 @@
             }
             News::Restriction { restriction, left_millis } => {
                 let left = Duration::from_millis(left_millis.into());
-                let now = self.shared.now();
-                let changes = {
-                    let state = &mut *self.shared.state.borrow_mut();
-                    state.mirror.on_restriction(restriction, left, &mut state.balancer, now)
-                };
+                let changes = self.shared.update_mirror(|mirror, balancer, now| {
+                    mirror.on_restriction(restriction, left, balancer, now)
+                });
                 self.shared.on_changes(&changes, "peer");
             }
             News::Unlimited(servers) => {
