--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -29,7 +29,7 @@
 
 pub use self::{
     caller::{Answer, ask, get, request},
-    server::{Behavior, Server},
+    server::{Behavior, Server, Trace},
 };
 
 /// The ports of a node follow this one. They lie below the ephemeral ports of the system.
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -2,6 +2,7 @@
     cell::{Cell, RefCell},
     net::SocketAddr,
     rc::Rc,
+    time::Instant,
 };
 
 use mimosabridge::name::Name;
@@ -34,6 +35,8 @@
     Hang,
     /// It ends when it receives a request for a path that contains "crash", and answers others.
     Crash,
+    /// It ends like [`Behavior::Crash`], but its end looks different from outside.
+    End(Trace),
     /// It sends these bytes again and again after the head of an answer, or in its place, until the
     /// connection is closed.
     Endless(&'static str, &'static str),
@@ -41,7 +44,24 @@
     Bare503,
 }
 
+/// What a server that has ended leaves behind.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Trace {
+    /// The caller's connection breaks. All others stay open, new ones are accepted, and nothing is
+    /// said.
+    OpenConnections,
+    /// All connections break. New ones are accepted, and nothing is said.
+    OpenPort,
+    /// All connections break. Another server listens at the address.
+    OtherServer,
+    /// A proxy answers that it reaches no server.
+    Proxy,
+    /// No connection breaks, and nothing is said.
+    Silence,
+}
+
 /// A backend server on loopback that writes raw bytes, so that it can send invalid answers.
+#[derive(Clone)]
 pub struct Server {
     pub id: Name,
     pub service: Name,
@@ -53,6 +73,8 @@
     pub disconnected: Rc<Cell<usize>>,
     /// The number of bytes of endless answers that were sent.
     pub endless_bytes: Rc<Cell<usize>>,
+    /// When the server has ended, if it has left a trace.
+    pub ended: Rc<Cell<Option<Instant>>>,
     end: Rc<Notify>,
 }
 
@@ -68,35 +90,10 @@
             requests: Rc::default(),
             disconnected: Rc::default(),
             endless_bytes: Rc::default(),
+            ended: Rc::default(),
             end: Rc::default(),
         };
-        let (behavior, requests) = (server.behavior.clone(), server.requests.clone());
-        let disconnected = server.disconnected.clone();
-        let (id, end) = (server.id.clone(), server.end.clone());
-        let endless_bytes = server.endless_bytes.clone();
-        tokio::task::spawn_local(async move {
-            let mut connections = JoinSet::new();
-            loop {
-                let stream = tokio::select! {
-                    // Drops the listener and all connections.
-                    () = end.notified() => return,
-                    accepted = listener.accept() => match accepted {
-                        Ok((stream, _)) => stream,
-                        Err(_) => return,
-                    },
-                };
-                let (behavior, requests) = (behavior.clone(), requests.clone());
-                connections.spawn_local(serve(
-                    stream,
-                    id.clone(),
-                    behavior,
-                    requests,
-                    disconnected.clone(),
-                    endless_bytes.clone(),
-                    end.clone(),
-                ));
-            }
-        });
+        tokio::task::spawn_local(accept(server.clone(), listener));
         server
     }
 
@@ -110,16 +107,34 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    id: Name,
-    behavior: Rc<Cell<Behavior>>,
-    requests: Rc<RefCell<Vec<String>>>,
-    disconnected: Rc<Cell<usize>>,
-    endless_bytes: Rc<Cell<usize>>,
-    end: Rc<Notify>,
-) {
+async fn accept(server: Server, listener: TcpListener) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = server.end.notified() => {
+                // Drops all connections, and the listener unless the server leaves it behind.
+                connections.shutdown().await;
+                if server.ended.get().is_none() {
+                    return;
+                }
+            }
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => drop(connections.spawn_local(serve(server.clone(), stream))),
+                Err(_) => return,
+            },
+        }
+    }
+}
+
+async fn serve(server: Server, mut stream: TcpStream) {
+    let Server { id, behavior, requests, disconnected, endless_bytes, ended, end, .. } = &server;
     while let Some(text) = read(&mut stream).await {
+        if let (Behavior::End(trace), Some(_)) = (behavior.get(), ended.get()) {
+            if !leave_trace(trace, &mut stream).await {
+                return std::future::pending().await;
+            }
+            continue;
+        }
         let request_id = field(&text, "x-id").unwrap_or_default();
         let is_crash = text.lines().next().is_some_and(|it| it.contains("crash"));
         requests.borrow_mut().push(text);
@@ -137,7 +152,17 @@
                 end.notify_one();
                 return std::future::pending().await;
             }
-            Behavior::Correct | Behavior::Crash => answer(&request_id, &body),
+            Behavior::End(trace) if is_crash => {
+                ended.set(Some(Instant::now()));
+                match trace {
+                    Trace::OpenConnections => return,
+                    Trace::OpenPort | Trace::OtherServer => end.notify_one(),
+                    Trace::Proxy => drop(leave_trace(trace, &mut stream).await),
+                    Trace::Silence => {}
+                }
+                return std::future::pending().await;
+            }
+            Behavior::Correct | Behavior::Crash | Behavior::End(_) => answer(&request_id, &body),
             Behavior::Shed => {
                 "HTTP/1.1 503 Full\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
             }
@@ -183,6 +208,17 @@
     }
 }
 
+/// Answers a request in the place of a server that has ended. Returns whether there is an answer.
+async fn leave_trace(trace: Trace, stream: &mut TcpStream) -> bool {
+    let head = match trace {
+        Trace::OpenConnections | Trace::OpenPort | Trace::Silence => return false,
+        Trace::OtherServer => "421 Misdirected",
+        Trace::Proxy => "502 Bad Gateway",
+    };
+    let answer = format!("HTTP/1.1 {head}\r\ncontent-length: 0\r\n\r\n");
+    stream.write_all(answer.as_bytes()).await.is_ok()
+}
+
 /// Reads a request with its body. Returns `None` at the end of the connection.
 async fn read(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -11,3 +11,4 @@
 mod invalid_requests;
 mod leaving_servers;
 mod served_requests;
+mod unseen_ends;
