Count that a content is not answered, whatever its servers' end looks like

Callers of a content that ends servers got 502 again and again while servers went on ending.

Cause: a lost attempt counted only if the end of the server was seen, and a connection that its address accepted withdrew it for good. A dead process's backlog, another server, a proxy and a supervisor accept as well.

Ruled out: that nodes do not hear of one another (eight that do ended 24 to 26 servers), and that silence alone is the cause (callers got 502 within milliseconds).

Change: each lost attempt weighs as much as losses are rare at its node, twice as much at most with a sign that the server has ended, less if a server of that name still answers its health check. The weights of independent losses add up over all nodes; only a signed answer to the content clears them, at the service that gave it, and nodes tell one another of it. A quarantine is told as such. A check asks for the server's name; that it connects proves nothing.

--- a/crates/core/src/member/news.rs
+++ b/crates/core/src/member/news.rs
@@ -3,7 +3,7 @@
 use super::{Mark, Record, State};
 use crate::{
     balance::Sample, config::Stamp, feed::Restriction, fingerprint::Fingerprint, name::Name,
-    quarantine::Crash,
+    quarantine::Evidence,
 };
 
 /// A news item, which spreads to every node.
@@ -27,18 +27,12 @@
         /// Increases each time the server is observed to be leaving again.
         round: u32,
     },
-    /// A backend server has crashed while it ran a request.
-    Crash {
-        /// The fingerprint of the content of the request.
+    /// What a node knows of a content that may crash servers.
+    Evidence {
+        /// The fingerprint of the content.
         fingerprint: Fingerprint,
-        /// The name of the server.
-        server: Name,
-        /// Distinguishes the starts of the server.
-        born: u64,
-        /// The time since the attempt at the server broke, in milliseconds.
-        age_millis: u32,
-        /// Whether the attempt repeats an earlier one with the same content that was lost.
-        is_repeat: bool,
+        /// What is known.
+        evidence: Evidence,
     },
     /// A restriction that is kept although the restored store does not state it.
     Restriction {
@@ -54,19 +48,12 @@
 }
 
 impl News {
-    /// Creates the news of a crash.
-    pub fn crash(fingerprint: Fingerprint, crash: Crash) -> News {
-        let Crash { server, born, age, is_repeat } = crash;
-        let age_millis = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
-        News::Crash { fingerprint, server, born, age_millis, is_repeat }
-    }
-
     /// Returns whether the news is pushed at once instead of waiting for the next probes.
     pub fn is_urgent(&self) -> bool {
         match self {
             News::Member(record) => record.state == State::Leaving,
             News::State(mark) => matches!(mark.state, State::Leaving | State::Dead),
-            News::Config { .. } | News::Leaving { .. } | News::Crash { .. } => true,
+            News::Config { .. } | News::Leaving { .. } | News::Evidence { .. } => true,
             News::Restriction { .. } | News::Seen(_) | News::Unlimited(_) => false,
         }
     }
--- a/crates/core/src/plan/service.rs
+++ b/crates/core/src/plan/service.rs
@@ -9,6 +9,8 @@
 pub struct Service {
     /// The name of the service.
     pub name: Name,
+    /// The path of the health check of its servers.
+    pub health_path: Name,
     /// The number of connections that one server accepts from all nodes together.
     pub connections: u32,
     /// How long a server stays cold after its start.
--- a/crates/core/src/quarantine/content.rs
+++ b/crates/core/src/quarantine/content.rs
@@ -1,9 +1,9 @@
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
-use super::Crash;
+use super::{Crash, Evidence, Weight};
 use crate::{name::Name, time::Time};
 
-/// The number of crashes after which a content is quarantined, if they are independent.
+/// The number of proven crashes after which a content is quarantined, if they are independent.
 pub const CRASH_THRESHOLD: usize = 2;
 
 /// How long a crash counts.
@@ -12,37 +12,44 @@
 /// Crashes that are farther apart than this are independent: one fault ends its servers together.
 const INDEPENDENT_AFTER: Duration = Duration::from_secs(1);
 
+/// The longest that news of the end of a quarantine may take.
+const MAX_DELAY: Duration = Duration::from_secs(30);
+
 /// The maximum number of crashes that are kept for a content.
-const MAX_CRASHES: usize = 4;
+const MAX_CRASHES: usize = 8;
 
-/// The crashes of one content.
+/// What is known of one content.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Content {
-    pub crashes: Vec<Known>,
-    /// When a crash would expire that happened as the last run without a crash started. Crashes
-    /// that expire no later do not count.
-    pub cleared: Option<Time>,
+    crashes: Vec<Known>,
+    /// For services that have answered the content: when a crash would expire that happened as the
+    /// content was sent. Crashes that expire no later do not count.
+    cleared: HashMap<u32, Time>,
+    quarantined_until: Option<Time>,
 }
 
 /// A crash as it is kept. Its time may lie before the start of this process, its expiry does not.
 #[derive(Clone, Debug)]
 pub(super) struct Known {
     pub server: Name,
+    service: u32,
     born: u64,
     is_repeat: bool,
+    weight: Weight,
     pub expires: Time,
 }
 
 impl Content {
-    /// Adds a crash. Returns whether it is new, or newly known to be a repeat.
+    /// Adds a crash. Returns whether it is new, or more is known of it.
     pub fn record(&mut self, crash: Crash, expires: Time) -> bool {
-        let Crash { server, born, is_repeat, .. } = crash;
+        let Crash { server, service, born, is_repeat, weight, .. } = crash;
         let is_same = |it: &&mut Known| it.server == server && it.born == born;
         if let Some(known) = self.crashes.iter_mut().find(is_same) {
             // News that was held up on its way makes a crash look later than it was.
             known.expires = known.expires.min(expires);
-            let is_news = is_repeat && !known.is_repeat;
+            let is_news = is_repeat && !known.is_repeat || weight > known.weight;
             known.is_repeat |= is_repeat;
+            known.weight = known.weight.max(weight);
             return is_news;
         }
         if self.crashes.len() >= MAX_CRASHES {
@@ -52,36 +59,124 @@
             };
             self.crashes.remove(oldest);
         }
-        self.crashes.push(Known { server, born, is_repeat, expires });
+        self.crashes.push(Known { server, service, born, is_repeat, weight, expires });
         true
     }
 
-    /// Returns whether two crashes that count are independent.
-    pub fn is_quarantined(&self, now: Time) -> bool {
-        if self.counted(now).count() < CRASH_THRESHOLD {
+    /// Makes the crashes of a service not count that expire no later than `limit`. Returns the
+    /// servers of those that have counted.
+    pub fn clear(&mut self, service: u32, limit: Time, now: Time) -> Vec<Name> {
+        let counted = self.counted(now).filter(|it| it.service == service && it.expires <= limit);
+        let servers = counted.map(|it| it.server.clone()).collect();
+        let known = self.cleared.entry(service).or_insert(limit);
+        *known = limit.max(*known);
+        servers
+    }
+
+    /// Returns the services of the crashes.
+    pub fn services(&self) -> Vec<u32> {
+        self.crashes.iter().map(|it| it.service).collect()
+    }
+
+    /// Quarantines the content until `until`, unless it is quarantined already. Returns whether it
+    /// is quarantined from now on.
+    pub fn quarantine(&mut self, until: Time, now: Time) -> bool {
+        if self.is_quarantined(now) || until <= now {
             return false;
         }
-        let first = self.counted(now).map(|it| it.expires).min().unwrap_or_default();
-        let last = self.counted(now).map(|it| it.expires).max().unwrap_or_default();
-        last.since(first) >= INDEPENDENT_AFTER || self.counted(now).any(|it| it.is_repeat)
+        self.quarantined_until = Some(until);
+        true
+    }
+
+    /// Quarantines the content like [`Content::quarantine`] because another node does, unless its
+    /// quarantine has just ended here: news that was held up on its way must not prolong it.
+    pub fn join_quarantine(&mut self, until: Time, now: Time) -> bool {
+        let has_just_ended = self.quarantined_until.is_some_and(|it| now < it + MAX_DELAY);
+        !has_just_ended && self.quarantine(until, now)
+    }
+
+    /// Returns whether the content is quarantined.
+    pub fn is_quarantined(&self, now: Time) -> bool {
+        self.quarantined_until.is_some_and(|it| it > now)
+    }
+
+    /// Returns the sum of the weights of the independent crashes, in tenths of a bit. One fault ends
+    /// its servers in one moment; of these crashes only the heaviest counts.
+    pub fn evidence(&self, now: Time) -> u32 {
+        let mut crashes: Vec<_> = self.counted(now).collect();
+        crashes.sort_by_key(|it| it.expires);
+        let (mut sum, mut heaviest, mut began) = (0, 0, None);
+        for crash in crashes {
+            let is_apart = |it| crash.expires.since(it) >= INDEPENDENT_AFTER;
+            if crash.is_repeat || began.is_none_or(is_apart) {
+                sum += heaviest;
+                (heaviest, began) = (0, Some(crash.expires));
+            }
+            heaviest = heaviest.max(crash.weight.tenths());
+        }
+        sum + heaviest
+    }
+
+    /// Returns until when the crashes that count now are enough for a quarantine, if they are.
+    pub fn quarantine_end(&self, now: Time) -> Option<Time> {
+        if self.evidence(now) < Weight::QUARANTINE {
+            return None;
+        }
+        let mut ends: Vec<_> = self.counted(now).map(|it| it.expires).collect();
+        ends.sort();
+        ends.into_iter().find(|it| self.evidence(*it) < Weight::QUARANTINE)
     }
 
     /// Returns the crashes that count.
     pub fn counted(&self, now: Time) -> impl Iterator<Item = &Known> {
-        let is_counted =
-            move |it: &&Known| it.expires > now && self.cleared.is_none_or(|at| it.expires > at);
-        self.crashes.iter().filter(is_counted)
+        let is_cleared =
+            |it: &Known| self.cleared.get(&it.service).is_some_and(|at| it.expires <= *at);
+        self.crashes.iter().filter(move |it| it.expires > now && !is_cleared(it))
+    }
+
+    /// Returns what other nodes must know of the content.
+    pub fn news(&self, now: Time) -> Vec<Evidence> {
+        if let Some(until) = self.quarantined_until.filter(|it| *it > now) {
+            return vec![Evidence::Quarantined(now.until(until))];
+        }
+        let age = |limit| TTL.saturating_sub(now.until(limit));
+        let cleared = self.cleared.iter().map(|it| Evidence::Cleared(*it.0, age(*it.1)));
+        let crashes = self.counted(now).map(|it| Evidence::Crash(it.crash(now)));
+        crashes.chain(cleared).collect()
+    }
+
+    /// Makes another crash the first one in the news, as packets may hold only a part of them.
+    pub fn rotate(&mut self) {
+        if !self.crashes.is_empty() {
+            self.crashes.rotate_left(1);
+        }
+    }
+
+    /// Drops what no longer counts. Returns whether anything is left.
+    pub fn expire(&mut self, now: Time) -> bool {
+        self.crashes.retain(|it| it.expires > now);
+        self.cleared.retain(|_, it| *it > now);
+        self.expires() > now
+    }
+
+    /// Returns when the content can be forgotten.
+    pub fn expires(&self) -> Time {
+        let crashes = self.crashes.iter().map(|it| it.expires);
+        let remembered = self.quarantined_until.map(|it| it + MAX_DELAY);
+        crashes.chain(remembered).max().unwrap_or_default()
     }
 }
 
 impl Known {
     /// Returns the crash with its age, for other nodes.
-    pub fn crash(&self, now: Time) -> Crash {
+    fn crash(&self, now: Time) -> Crash {
         Crash {
             server: self.server.clone(),
+            service: self.service,
             born: self.born,
             age: TTL.saturating_sub(now.until(self.expires)),
             is_repeat: self.is_repeat,
+            weight: self.weight,
         }
     }
 }
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -1,7 +1,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::{
-    Crash,
+    Crash, Evidence, Weight,
     content::{Content, Known, TTL},
     crash::REPEAT_GAP,
 };
@@ -10,23 +10,24 @@
 /// The maximum number of contents in a list.
 const CAPACITY: usize = 10_000;
 
-/// The most crashes of quarantined contents in one packet to another node.
+/// The most news of quarantined contents in one packet to another node.
 const MAX_QUARANTINED_NEWS: usize = 4;
 
-/// The most crashes in one packet to another node.
+/// The most news of contents in one packet to another node.
 const MAX_NEWS: usize = 6;
 
-/// The room that packets to other nodes keep for crashes while there are any, in bytes. A content
-/// with two crashes takes some 70.
+/// The room that packets to other nodes keep for news of contents while there are any, in bytes. A
+/// crash takes some 40, a quarantine half of it.
 const NEWS_BYTES: usize = 160;
 
-/// Crashes of backend servers, by the content that they were running.
+/// Possible crashes of backend servers, by the content that they were running.
 ///
-/// A content is quarantined by two independent crashes until they expire: one is of an attempt that
-/// repeats another, or they are far apart. A content with other crashes is suspect until they expire
-/// or a run without a crash clears it; it is tried on one server before others get it.
+/// A content is quarantined once the weights of its independent crashes reach
+/// [`Weight::QUARANTINE`]: they are of attempts that repeat others, or are far apart. Below that, a
+/// content is suspect from [`Weight::SUSPICION`] on; it is tried on one server before others get it.
+/// An answer to the content by a server clears the earlier crashes of its service.
 ///
-/// Each node repeats its crashes to the others as long as they count, so that nodes learn them that
+/// Each node repeats what it knows to the others as long as it counts, so that nodes learn it that
 /// start later, are cut off for a while, or lose packets.
 #[derive(Clone, Debug, Default)]
 pub struct List {
@@ -38,14 +39,14 @@
     suspect: VecDeque<Fingerprint>,
 }
 
-/// What a crash changes.
+/// What evidence changes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Effect {
-    /// The crash was known.
+    /// It was known.
     Known,
-    /// The crash is new.
+    /// It is new.
     Recorded,
-    /// The crash is new, and the content is quarantined from now on.
+    /// It is new, and the content is quarantined from now on.
     Quarantined,
 }
 
@@ -57,42 +58,63 @@
 
     /// Records a crash.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: Time) -> Effect {
-        self.expire(now);
-        let is_new_content = !self.contents.contains_key(&fingerprint);
-        let content = self.contents.entry(fingerprint).or_default();
-        let was_quarantined = content.is_quarantined(now);
         let expires = now + TTL.saturating_sub(crash.age);
-        if !content.record(crash, expires) {
+        let is_new = self.update(fingerprint, now, |it| it.record(crash, expires));
+        let Some(content) = self.contents.get_mut(&fingerprint).filter(|_| is_new) else {
             return Effect::Known;
+        };
+        match content.quarantine_end(now) {
+            Some(until) if content.quarantine(until, now) => {
+                self.on_quarantined(fingerprint, until)
+            }
+            _ => Effect::Recorded,
         }
-        let is_quarantined = content.is_quarantined(now);
-        self.order.push_back((expires, fingerprint));
-        if is_new_content {
-            self.suspect.push_back(fingerprint);
-        }
-        while self.contents.len() > CAPACITY {
-            self.drop_oldest();
-        }
-        if !is_quarantined || was_quarantined {
-            return Effect::Recorded;
+    }
+
+    /// Records what another node knows.
+    pub fn receive(&mut self, fingerprint: Fingerprint, evidence: Evidence, now: Time) -> Effect {
+        match evidence {
+            Evidence::Crash(crash) => self.record_crash(fingerprint, crash, now),
+            Evidence::Cleared(service, sent) => {
+                let limit = now + TTL.saturating_sub(sent);
+                let content = self.contents.get_mut(&fingerprint);
+                let cleared = content.map(|it| it.clear(service, limit, now));
+                let is_news = cleared.is_some_and(|it| !it.is_empty());
+                if is_news { Effect::Recorded } else { Effect::Known }
+            }
+            Evidence::Quarantined(left) => {
+                let until = now + left.min(TTL);
+                if !self.update(fingerprint, now, |it| it.join_quarantine(until, now)) {
+                    return Effect::Known;
+                }
+                self.on_quarantined(fingerprint, until)
+            }
         }
-        self.suspect.retain(|it| *it != fingerprint);
-        self.quarantined.push_front(fingerprint);
-        Effect::Quarantined
     }
 
-    /// Clears a suspect content after a run without a crash that started at `started`. Does not end
-    /// a quarantine. Returns the servers whose crashes no longer count.
-    pub fn clear(&mut self, fingerprint: Fingerprint, started: Time, now: Time) -> Vec<Name> {
+    /// Clears a suspect content: a server of a service has answered it in an attempt that was sent
+    /// at `sent`. Does not end a quarantine. Returns the servers whose crashes no longer count.
+    pub fn clear(
+        &mut self,
+        fingerprint: Fingerprint,
+        service: u32,
+        sent: Time,
+        now: Time,
+    ) -> Vec<Name> {
         let Some(content) = self.contents.get_mut(&fingerprint) else { return Vec::new() };
         if content.is_quarantined(now) {
             return Vec::new();
         }
-        let limit = started + TTL;
-        let cleared = content.counted(now).filter(|it| it.expires <= limit);
-        let cleared = cleared.map(|it| it.server.clone()).collect();
-        content.cleared = content.cleared.max(Some(limit));
-        cleared
+        content.clear(service, sent + TTL, now)
+    }
+
+    /// Clears a suspect content like [`List::clear`] after a run without a crash on all services,
+    /// which started at `started`.
+    pub fn clear_all(&mut self, fingerprint: Fingerprint, started: Time, now: Time) {
+        let services = self.contents.get(&fingerprint).map(Content::services);
+        for service in services.unwrap_or_default() {
+            self.clear(fingerprint, service, started, now);
+        }
     }
 
     /// Returns the servers that crashed while they were running a content.
@@ -100,9 +122,14 @@
         self.counted(fingerprint, now).map(|it| it.server.clone()).collect()
     }
 
-    /// Returns whether a content has crashed a server.
+    /// Returns whether a content may crash servers.
     pub fn is_suspect(&self, fingerprint: Fingerprint, now: Time) -> bool {
-        self.counted(fingerprint, now).next().is_some()
+        self.evidence(fingerprint, now) >= Weight::SUSPICION
+    }
+
+    /// Returns the sum of the weights of the independent crashes of a content, in tenths of a bit.
+    pub fn evidence(&self, fingerprint: Fingerprint, now: Time) -> u32 {
+        self.contents.get(&fingerprint).map_or(0, |it| it.evidence(now))
     }
 
     /// Returns whether an attempt that was sent at `sent` repeats one that crashed a server.
@@ -115,14 +142,15 @@
         self.contents.get(&fingerprint).is_some_and(|it| it.is_quarantined(now))
     }
 
-    /// Returns the crashes of a content, for nodes that must learn them at once.
+    /// Returns what is known of a content, for nodes that must learn it at once.
     pub fn news(&self, fingerprint: Fingerprint, now: Time) -> Vec<News> {
-        let crashes = self.counted(fingerprint, now);
-        crashes.map(|it| News::crash(fingerprint, it.crash(now))).collect()
+        let evidence = self.contents.get(&fingerprint).map(|it| it.news(now));
+        let news = |evidence| News::Evidence { fingerprint, evidence };
+        evidence.unwrap_or_default().into_iter().map(news).collect()
     }
 
-    /// Returns the crashes to repeat in the next packet to another node, those of quarantined
-    /// contents first. The contents take turns.
+    /// Returns what to repeat in the next packet to another node, quarantined contents first. The
+    /// contents take turns.
     pub fn next_news(&mut self, now: Time) -> Vec<News> {
         self.expire(now);
         let mut news = Vec::new();
@@ -154,8 +182,7 @@
         while self.order.front().is_some_and(|it| it.0 <= now) {
             let Some((_, fingerprint)) = self.order.pop_front() else { return };
             let Some(content) = self.contents.get_mut(&fingerprint) else { continue };
-            content.crashes.retain(|it| it.expires > now);
-            if content.crashes.is_empty() {
+            if !content.expire(now) {
                 self.contents.remove(&fingerprint);
             }
         }
@@ -176,10 +203,48 @@
         self.contents.get(&fingerprint).into_iter().flat_map(move |it| it.counted(now))
     }
 
-    /// Adds the crashes of a content to the news, and puts the content last in its turn.
+    /// Updates a content, which may be new. Returns whether the update changes it.
+    fn update(
+        &mut self,
+        fingerprint: Fingerprint,
+        now: Time,
+        update: impl FnOnce(&mut Content) -> bool,
+    ) -> bool {
+        self.expire(now);
+        let is_new = !self.contents.contains_key(&fingerprint);
+        let content = self.contents.entry(fingerprint).or_default();
+        let is_changed = update(content);
+        let expires = content.expires();
+        if expires <= now {
+            self.contents.remove(&fingerprint);
+            return false;
+        }
+        if is_changed {
+            self.order.push_back((expires, fingerprint));
+        }
+        if is_new {
+            self.suspect.push_back(fingerprint);
+        }
+        while self.contents.len() > CAPACITY {
+            self.drop_oldest();
+        }
+        is_changed
+    }
+
+    fn on_quarantined(&mut self, fingerprint: Fingerprint, until: Time) -> Effect {
+        let expires = self.contents.get(&fingerprint).map_or(until, Content::expires);
+        self.order.push_back((expires, fingerprint));
+        self.suspect.retain(|it| *it != fingerprint);
+        self.quarantined.retain(|it| *it != fingerprint);
+        self.quarantined.push_front(fingerprint);
+        Effect::Quarantined
+    }
+
+    /// Adds what is known of a content to the news, and puts the content last in its turn.
     fn repeat(&mut self, fingerprint: Fingerprint, news: &mut Vec<News>, now: Time) {
-        let Some(content) = self.contents.get(&fingerprint) else { return };
         news.extend(self.news(fingerprint, now));
+        let Some(content) = self.contents.get_mut(&fingerprint) else { return };
+        content.rotate();
         match content.is_quarantined(now) {
             true => self.quarantined.push_back(fingerprint),
             false => self.suspect.push_back(fingerprint),
@@ -188,8 +253,7 @@
 
     fn drop_oldest(&mut self) {
         let Some((expires, fingerprint)) = self.order.pop_front() else { return };
-        let content = self.contents.get(&fingerprint);
-        if content.is_some_and(|it| it.crashes.iter().all(|it| it.expires <= expires)) {
+        if self.contents.get(&fingerprint).is_some_and(|it| it.expires() <= expires) {
             self.contents.remove(&fingerprint);
         }
     }
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -98,9 +98,9 @@
         self.ends.get(number).copied().flatten()
     }
 
-    /// Returns whether an attempt was lost, so that its server may have crashed.
-    pub fn has_lost(&self) -> bool {
-        self.ends.iter().flatten().any(|it| matches!(it, End::Broken | End::Silent))
+    /// Returns the attempts that have not ended.
+    pub fn under_way(&self) -> impl Iterator<Item = &Attempt> {
+        self.attempts.iter().flatten()
     }
 
     /// Starts the run: sends the request, or refuses it at once if it cannot be served.
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -32,8 +32,8 @@
 pub const FETCHED: Event = Event::new(5107, Level::Info, "caught up through a peer");
 /// The estimated number of nodes that share the servers changed.
 pub const NODES: Event = Event::new(5108, Level::Info, "number of nodes changed");
-/// A request crashed a backend server.
-pub const CRASH: Event = Event::new(5109, Level::Warn, "backend server crashed");
+/// An attempt was lost, which counts as a possible crash of its server.
+pub const CRASH: Event = Event::new(5109, Level::Warn, "backend server may have crashed");
 /// The node receives the published facts from another upstream: the store or a node.
 pub const UPSTREAM: Event = Event::new(5110, Level::Info, "upstream changed");
 /// The observations of this node and nearby nodes show a slow or failing backend server.
@@ -49,6 +49,8 @@
 pub const IGNORED: Event = Event::new(5115, Level::Info, "older facts ignored");
 /// The answer to a watch does not continue what is known.
 pub const DISCONTINUED: Event = Event::new(5116, Level::Warn, "watch discontinued");
+/// A content is refused from now on because it crashes servers.
+pub const QUARANTINED: Event = Event::new(5118, Level::Warn, "content quarantined");
 /// A server has stated a limit on its requests, or no longer states one.
 pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
 
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -4,6 +4,7 @@
 use mimosabridge::{
     balance::Stated,
     fingerprint::Fingerprint,
+    name::Name,
     plan::{Plan, Target},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
     time::Time,
@@ -105,7 +106,21 @@
                 () = &mut end => break,
             }
         }
-        self.decide(|run, context| run.abandon(true, context));
+        self.give_up(true);
+    }
+
+    /// Gives up the attempts under way. `is_silent` says that their servers had time to answer.
+    fn give_up(&mut self, is_silent: bool) {
+        for attempt in self.run.under_way() {
+            let path = self.health_path(attempt);
+            evidence::record_given_up(&self.shared, self.fingerprint, attempt, path);
+        }
+        self.decide(|run, context| run.abandon(is_silent, context));
+    }
+
+    /// Returns the path of the health check of an attempt's server.
+    fn health_path(&self, attempt: &Attempt) -> Option<&Name> {
+        self.plan.service(&attempt.server.service).map(|it| &it.health_path)
     }
 
     fn decide<T>(&mut self, decision: impl FnOnce(&mut Run, &mut Context<'_>) -> T) -> T {
@@ -138,13 +153,17 @@
     }
 
     fn on_ended(&mut self, (attempt, completion): Ended) -> Vec<Action> {
+        let mut completion = completion;
+        if self.is_duplicate(completion.end, completion.reply.as_ref()) {
+            completion.end = End::Invalid;
+        }
+        let path = self.health_path(&attempt);
+        evidence::record(&self.shared, self.fingerprint, &attempt, &completion, path);
         let Completion { end, reply, error } = completion;
-        let end = if self.is_duplicate(end, reply.as_ref()) { End::Invalid } else { end };
         self.shared.metrics.on_attempt(&attempt.server.service, end);
         if end != End::Served {
             self.log_attempt(&attempt, end, reply.as_ref(), error.as_ref());
         }
-        evidence::record(&self.shared, self.fingerprint, &attempt, end, error.as_ref());
         if let Some(reply) = reply {
             self.record_stated(&attempt, end, &reply);
             self.replies.insert(attempt.number, reply);
@@ -185,9 +204,6 @@
     fn answer(&mut self, verdict: Verdict) -> Answer {
         let latency = self.shared.now().since(self.started_at);
         self.log_verdict(&verdict, latency);
-        if !self.run.has_lost() && self.is_served_whole(&verdict) {
-            self.shared.clear_suspect(self.fingerprint, self.started_at);
-        }
         match verdict {
             Verdict::Pass(number) => match self.replies.remove(&number) {
                 Some(reply) => respond::pass(reply),
@@ -303,6 +319,6 @@
             ("millis", &millis),
             ("sends", &self.run.sends()),
         ]);
-        self.decide(|run, context| run.abandon(false, context));
+        self.give_up(false);
     }
 }
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -2,7 +2,8 @@
     directory::Entry,
     fingerprint::Fingerprint,
     name::Name,
-    quarantine::{Crash, Effect, Loss, Sign},
+    quarantine::{Crash, Effect, Evidence, Loss, Sign},
+    scatter::Attempt,
     time::Time,
 };
 
@@ -21,38 +22,58 @@
     ) -> bool {
         let now = self.now();
         let state = &mut *self.state.borrow_mut();
-        if state.balancer.directory().get(&server.id).is_none_or(|it| it.is_draining) {
-            // A server that leaves ends as planned.
-            return false;
-        }
         let is_repeat = state.crash_detector.is_repeat(fingerprint, sent)
             || state.quarantine.is_repeat(fingerprint, sent, now);
         state.crash_detector.on_lost(fingerprint, server, loss, is_repeat, now)
     }
 
-    /// Records that a server answered to an attempt or a connection that began at `since`.
-    pub fn on_reached(&self, server: &Name, since: Time) {
-        for fingerprint in self.state.borrow_mut().crash_detector.on_reached(server, since) {
-            emit_dropped(fingerprint, server, "server still runs");
-        }
+    /// Records that a server answered to an attempt or a check that began at `since`.
+    pub fn on_answered(&self, server: &Name, since: Time) {
+        self.state.borrow_mut().crash_detector.on_answered(server, since);
     }
 
-    /// Records a sign that a server has ended, and the crashes that it proves. `source` says who
-    /// observed it.
-    pub fn on_sign(&self, server: &Name, sign: Sign, source: &str) {
-        let crashes = self.state.borrow_mut().crash_detector.on_sign(server, sign, self.now());
-        for (fingerprint, crash) in crashes {
-            if self.record_crash(fingerprint, crash, source) != Effect::Known {
-                self.state.borrow_mut().unpushed_contents.insert(fingerprint);
-            }
+    /// Records that a server answered a content, which does not crash its service then.
+    pub fn on_content_answered(&self, fingerprint: Fingerprint, attempt: &Attempt) {
+        let now = self.now();
+        let state = &mut *self.state.borrow_mut();
+        let (service, sent) = (&attempt.server.service, attempt.sent);
+        state.crash_detector.on_answered(&attempt.server.id, sent);
+        state.crash_detector.on_content_answered(fingerprint, service, sent, now);
+        for server in state.quarantine.clear(fingerprint, service.key(), sent, now) {
+            state.unpushed_contents.insert(fingerprint);
+            emit_dropped(fingerprint, server.as_str(), "answered");
         }
     }
 
-    /// Records a crash that another node observed. Only one that quarantines its content is passed
-    /// on at once: one fault makes many contents suspect.
-    pub fn on_peer_crash(&self, fingerprint: Fingerprint, crash: Crash) {
-        if self.record_crash(fingerprint, crash, "peer") == Effect::Quarantined {
-            self.state.borrow_mut().unpushed_contents.insert(fingerprint);
+    /// Records a sign that a server has ended.
+    pub fn on_sign(&self, server: &Name, sign: Sign) {
+        self.state.borrow_mut().crash_detector.on_sign(server, sign);
+    }
+
+    /// Records that the check of a server has ended.
+    pub fn on_checked(&self, server: &Name) {
+        self.state.borrow_mut().crash_detector.on_checked(server);
+    }
+
+    /// Records what another node knows of a content. Only what quarantines it is passed on at once:
+    /// one fault makes many contents suspect.
+    pub fn on_peer_evidence(&self, fingerprint: Fingerprint, evidence: Evidence) {
+        let now = self.now();
+        let effect = self.state.borrow_mut().quarantine.receive(fingerprint, evidence.clone(), now);
+        match evidence {
+            // One fault makes all nodes tell of many contents.
+            Evidence::Crash(crash)
+                if self.state.borrow().quarantine.is_suspect(fingerprint, now) =>
+            {
+                self.emit_crash(effect, fingerprint, &crash, "peer");
+            }
+            Evidence::Cleared(..) if effect != Effect::Known => {
+                emit_dropped(fingerprint, "", "answered at a peer");
+            }
+            Evidence::Crash(_) | Evidence::Cleared(..) | Evidence::Quarantined(_) => {}
+        }
+        if effect == Effect::Quarantined {
+            self.on_quarantined(fingerprint, "peer");
         }
     }
 
@@ -63,52 +84,70 @@
             || state.quarantine.is_suspect(fingerprint, self.now())
     }
 
-    /// Clears a content after a run without a crash that started at `started`, unless it is
-    /// quarantined.
-    pub fn clear_suspect(&self, fingerprint: Fingerprint, started: Time) {
-        let now = self.now();
-        for server in self.state.borrow_mut().quarantine.clear(fingerprint, started, now) {
-            emit_dropped(fingerprint, &server, "answered");
+    /// Weighs lost attempts, and drops what no longer counts.
+    pub fn update_evidence(&self, now: Time) {
+        let (crashes, dropped) = {
+            let state = &mut *self.state.borrow_mut();
+            state.quarantine.expire(now);
+            let directory = state.balancer.directory();
+            let is_leaving = |it: &Name| directory.get(it).is_some_and(|it| it.is_draining);
+            let crashes = state.crash_detector.weigh(is_leaving, now);
+            (crashes, state.crash_detector.expire(now))
+        };
+        for (fingerprint, crash) in crashes {
+            self.record_crash(fingerprint, crash, now);
+        }
+        for (fingerprint, server) in dropped {
+            emit_dropped(fingerprint, server.as_str(), "the server went on answering");
         }
+        let contents = self.state.borrow().quarantine.len();
+        self.metrics.suspect_contents.set(contents as i64);
     }
 
-    /// Drops lost attempts that were not found to be crashes in time, and crashes that no longer
-    /// count.
-    pub fn expire_evidence(&self, now: Time) {
-        let state = &mut *self.state.borrow_mut();
-        state.quarantine.expire(now);
-        self.metrics.suspect_contents.set(state.quarantine.len() as i64);
-        let directory = state.balancer.directory();
-        let is_leaving = |it: &Name| directory.get(it).is_some_and(|it| it.is_draining);
-        for (fingerprint, server) in state.crash_detector.expire(is_leaving, now) {
-            emit_dropped(fingerprint, &server, "no sign that the server has ended");
+    fn record_crash(&self, fingerprint: Fingerprint, crash: Crash, now: Time) {
+        let effect = {
+            let state = &mut *self.state.borrow_mut();
+            let effect = state.quarantine.record_crash(fingerprint, crash.clone(), now);
+            if effect != Effect::Known && state.quarantine.is_suspect(fingerprint, now) {
+                state.unpushed_contents.insert(fingerprint);
+            }
+            effect
+        };
+        self.emit_crash(effect, fingerprint, &crash, "own attempt");
+        if effect == Effect::Quarantined {
+            self.on_quarantined(fingerprint, "own attempt");
         }
     }
 
-    fn record_crash(&self, fingerprint: Fingerprint, crash: Crash, source: &str) -> Effect {
-        let now = self.now();
-        let quarantine = &mut self.state.borrow_mut().quarantine;
-        let effect = quarantine.record_crash(fingerprint, crash.clone(), now);
+    fn on_quarantined(&self, fingerprint: Fingerprint, source: &str) {
+        self.state.borrow_mut().unpushed_contents.insert(fingerprint);
+        events::QUARANTINED.emit(&[("fingerprint", &fingerprint), ("source", &source)]);
+    }
+
+    fn emit_crash(&self, effect: Effect, fingerprint: Fingerprint, crash: &Crash, source: &str) {
         if effect == Effect::Known {
-            return effect;
+            return;
         }
         self.metrics.on_crash(source);
+        let now = self.now();
+        let quarantine = &self.state.borrow().quarantine;
         events::CRASH.emit(&[
             ("fingerprint", &fingerprint),
             ("server", &crash.server),
             ("source", &source),
             ("age_millis", &crash.age.as_millis()),
             ("repeat", &crash.is_repeat),
+            ("weight", &crash.weight.tenths()),
+            ("evidence", &quarantine.evidence(fingerprint, now)),
             ("quarantined", &quarantine.is_quarantined(fingerprint, now)),
         ]);
-        effect
     }
 }
 
-fn emit_dropped(fingerprint: Fingerprint, server: &Name, reason: &str) {
+fn emit_dropped(fingerprint: Fingerprint, server: &str, reason: &str) {
     events::EVIDENCE_DROPPED.emit(&[
         ("fingerprint", &fingerprint),
-        ("server", server),
+        ("server", &server),
         ("reason", &reason),
     ]);
 }
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -123,7 +123,7 @@
         shared.resumed.notify_waiters();
     }
     shared.pool.expire(tick.now);
-    shared.expire_evidence(tick.now);
+    shared.update_evidence(tick.now);
     let changes = shared.update_mirror(|mirror, balancer, _| mirror.tick(balancer, tick.now));
     shared.on_changes(&changes, "time");
 }
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -131,7 +131,7 @@
                 }
                 Event::Server(change) => {
                     if let Change::Removed(id) | Change::Restarted(id) = change {
-                        self.on_sign(id, Sign::Replaced, "store");
+                        self.on_sign(id, Sign::Replaced);
                     }
                     let change = format!("{change:?}");
                     emit(&events::SERVER, "change", &change);
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use mimosabridge::{balance::Sample, member::News, quarantine::Crash, time::Time};
+use mimosabridge::{balance::Sample, member::News, time::Time};
 
 use super::exchange::Inner;
 use crate::events;
@@ -9,6 +9,9 @@
 /// most faults last.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
+/// The most contents of which other nodes are told in one tick. One fault makes many suspect.
+const MAX_PUSHED_CONTENTS: usize = 32;
+
 impl Inner {
     /// Sends this node's observations of servers to nearby nodes.
     pub fn report(&self, now: Time) {
@@ -36,8 +39,9 @@
 
     /// Sends the crashes that other nodes must learn at once to some of them.
     pub fn push_crashes(&self, now: Time) {
-        let contents = std::mem::take(&mut self.shared.state.borrow_mut().unpushed_contents);
-        for content in contents {
+        for _ in 0..MAX_PUSHED_CONTENTS {
+            let content = self.shared.state.borrow_mut().unpushed_contents.pop_first();
+            let Some(content) = content else { return };
             let news = self.shared.state.borrow().quarantine.news(content, now);
             let actions = self.peer.borrow_mut().push_now(news, &mut *self.rng.borrow_mut());
             self.act(actions);
@@ -61,9 +65,8 @@
     /// Handles news from another node.
     pub fn on_news(&self, news: News) {
         match news {
-            News::Crash { fingerprint, server, born, age_millis, is_repeat } => {
-                let age = Duration::from_millis(age_millis.into());
-                self.shared.on_peer_crash(fingerprint, Crash { server, born, age, is_repeat });
+            News::Evidence { fingerprint, evidence } => {
+                self.shared.on_peer_evidence(fingerprint, evidence);
             }
             News::Restriction { restriction, left_millis } => {
                 let left = Duration::from_millis(left_millis.into());
--- a/crates/direct/src/wire/headers.rs
+++ b/crates/direct/src/wire/headers.rs
@@ -9,6 +9,8 @@
     pub deadline: HeaderName,
     /// The identity of the only server that may run the request.
     pub expected_server: HeaderName,
+    /// The identity of the server that answers a health check.
+    pub server_id: HeaderName,
     /// The signature of the server that made an answer.
     pub signature: HeaderName,
     /// The signatures of the parts of a merged answer.
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -135,6 +135,16 @@
             }
             continue;
         }
+        if text.starts_with("GET /health ") {
+            if behavior.get() == Behavior::Hang {
+                return std::future::pending().await;
+            }
+            let head = format!("HTTP/1.1 200 OK\r\nx-server-id: {id}\r\ncontent-length: 0\r\n\r\n");
+            if stream.write_all(head.as_bytes()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let request_id = field(&text, "x-id").unwrap_or_default();
         let is_crash = text.lines().next().is_some_and(|it| it.contains("crash"));
         requests.borrow_mut().push(text);
--- a/crates/node/src/entry/coordinator.rs
+++ b/crates/node/src/entry/coordinator.rs
@@ -221,7 +221,7 @@
     /// Records that a content was run on all shards without a crash, in a run that started at
     /// `started`.
     pub fn record_harmless(&self, content: Fingerprint, started: Time) {
-        self.quarantine().clear(content, started, self.timer.now());
+        self.quarantine().clear_all(content, started, self.timer.now());
         self.lock().record_harmless(content);
     }
 
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -11,7 +11,7 @@
     member::{Action, News, Packet, Peer, Record, State},
     name::Name,
     place,
-    quarantine::{Crash, Effect, List},
+    quarantine::{Crash, Effect, Evidence, List},
     time::Time,
 };
 use rand::{SeedableRng, rngs::StdRng};
@@ -320,11 +320,13 @@
             | News::Unlimited(_) => {}
             News::Config { stamp, in_force } => self.on_stamp(stamp, in_force, from),
             News::Leaving { server, round } => self.on_leaving(server, round),
-            News::Crash { fingerprint, server, born, age_millis, is_repeat } => {
-                let age = Duration::from_millis(age_millis.into());
-                let crash = Crash { server, born, age, is_repeat };
+            News::Evidence { fingerprint, evidence } => {
+                let effect = match evidence {
+                    Evidence::Crash(crash) => self.on_crash(fingerprint, crash),
+                    it => self.quarantine().receive(fingerprint, it, self.timer.now()),
+                };
                 // Only the news that decides is passed on at once: one fault makes many suspects.
-                if self.on_crash(fingerprint, crash) == Effect::Quarantined {
+                if effect == Effect::Quarantined {
                     self.push_crashes(fingerprint);
                 }
             }
--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -11,7 +11,7 @@
     name::Name,
     outcome::{Failure, Hint, Outcome, Refusal},
     place::{self, Block, Placement},
-    quarantine::{Crash, List},
+    quarantine::{Crash, List, Weight},
     time::Time,
     wire,
 };
@@ -264,8 +264,10 @@
                     Crash {
                         born: self.boots.get(&server).copied().unwrap_or_default(),
                         server,
+                        service: job.shard.key(),
                         age: Duration::ZERO,
                         is_repeat: job.is_repeat,
+                        weight: Weight::PROVEN,
                     },
                 );
                 let _ = self.parts.fleet.send(message);
--- a/crates/tools/src/explain/explanation.rs
+++ b/crates/tools/src/explain/explanation.rs
@@ -2,8 +2,8 @@
 
 use mimosabridge_cli::Event;
 use mimosabridge_direct::events::{
-    ATTEMPT, CLOSED, CRASH, FAILED, LEFT, NODES, PARTIAL, PAUSED, PLAN, REFUSED, REJECTED, SERVED,
-    SERVER, STORE_BACK, STORE_LOST, SUSPECT, UPSTREAM,
+    ATTEMPT, CLOSED, CRASH, FAILED, LEFT, NODES, PARTIAL, PAUSED, PLAN, QUARANTINED, REFUSED,
+    REJECTED, SERVED, SERVER, STORE_BACK, STORE_LOST, SUSPECT, UPSTREAM,
 };
 
 use super::Line;
@@ -41,7 +41,8 @@
         let servers: BTreeSet<_> = own.iter().filter_map(|it| it.text("server")).collect();
         let from = seconds(&end.time).map(|it| it - before.as_secs_f64());
         let content = end.text("fingerprint");
-        let is_crash_of_content = |it: &Line| it.is(CRASH) && it.text("fingerprint") == content;
+        let is_crash_of_content =
+            |it: &Line| it.is_any(&[CRASH, QUARANTINED]) && it.text("fingerprint") == content;
         let is_state_change = |it: &&Line| {
             let names_server = || {
                 let summary = it.summary();
