Serve the callers of stranded nodes through nodes that reach the servers

Callers whose connection led to a node without any server got 503 after half a second or 504 at their deadline, for as long as the cut lasted, while other nodes served everybody.

Cause: each request found out for itself that no server answered; nothing added it up. The node stayed ready, used none of its peers, and told them that all servers fail.

Ruled out: readiness alone, as connections stay where they are and a zone with less than half of its nodes ready gets all of its callers all the same; and a rule by service, which would take servers that are down for a cut.

Change: a node that no server has answered for 0.5 s, with three servers that failed in it, has lost the servers. If another node has been answered in the last 4 s, which each packet tells, it is stranded: it is not ready, closes callers' connections after their answers, and has such a node serve what still comes, in its own data centre first. One hop, by the connection's origin; with the time that is left; a request that must not run twice is given to a second node only if the first has not read it; a caller who leaves ends the work there. Limits, cold shares and budgets are those of the node that serves. Nodes without such a peer behave as before: the servers may be down. A stranded node tells nothing of servers, asks one after the other for its health, and forgets their failures when one answers.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -107,6 +107,17 @@
         }
     }
 
+    /// Records that this node reaches the servers again. That it did not reach them says nothing
+    /// about them.
+    pub fn on_regained(&mut self) {
+        self.servers.values_mut().for_each(Server::forget_failures);
+    }
+
+    /// Returns the servers with an overdue request that have not answered since it was sent.
+    pub fn stalled(&self, now: Time) -> impl Iterator<Item = &Name> {
+        self.servers.iter().filter(move |it| it.1.is_stalled(now)).map(|it| it.0)
+    }
+
     /// Makes a server count as cold for as long as its directory entry says.
     pub fn on_cold(&mut self, id: &Name, now: Time) {
         let Some(cold) = self.directory.get(id).map(|it| it.cold) else { return };
--- a/crates/core/src/balance/server.rs
+++ b/crates/core/src/balance/server.rs
@@ -199,6 +199,14 @@
         self.idle > 0 && now.since(self.idle_since) <= IDLE_TIMEOUT
     }
 
+    /// Forgets that the server could not be reached or failed.
+    pub fn forget_failures(&mut self) {
+        self.failures = 0.0;
+        self.slowness = 1.0;
+        self.unreachable_count = 0;
+        self.down_until = Time::ZERO;
+    }
+
     /// Returns the number of requests under way.
     pub fn running(&self) -> usize {
         self.under_way.len()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod plan;
 pub mod quarantine;
 pub mod query;
+pub mod reach;
 pub mod retry;
 pub mod route;
 pub mod scatter;
--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -7,6 +7,7 @@
 
 mod action;
 mod detector;
+mod helpers;
 mod herald;
 mod mark;
 mod nearby;
--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -21,6 +21,9 @@
     /// platform, in tenths of a second. It is rounded up, so that it never shrinks from node to
     /// node.
     pub platform_age: u16,
+    /// The time since a server last answered the sender, in tenths of a second, if it sends requests
+    /// straight to servers and reaches them.
+    pub reach_age: Option<u8>,
     /// The digest of the roster of the sender.
     pub roster: u32,
     /// News for the receiver.
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -1,5 +1,5 @@
 use std::{
-    collections::{BTreeSet, HashSet},
+    collections::{BTreeMap, BTreeSet, HashSet},
     net::SocketAddr,
     time::Duration,
 };
@@ -8,13 +8,16 @@
 
 use super::{
     Action, Detector, Incarnation, Kind, Mark, News, Outbox, Packet, Record, Roster, Settings,
-    State, detector::Probe, herald::Herald, roster::Effect,
+    State, detector::Probe, helpers::MAX_REACH_AGE, herald::Herald, roster::Effect,
 };
-use crate::{config::Stamp, feed::Progress, time::Time};
+use crate::{config::Stamp, feed::Progress, name::Name, time::Time};
 
 /// The unit of [`Packet::platform_age`].
 const PLATFORM_AGE_UNIT: Duration = Duration::from_millis(100);
 
+/// The unit of [`Packet::reach_age`].
+const REACH_AGE_UNIT: Duration = Duration::from_millis(100);
+
 /// An exchange of rosters that changes more than one record in this many resets the wait until the
 /// next exchange to its minimum.
 const SYNC_RESET_DIVISOR: usize = 20;
@@ -31,6 +34,10 @@
     seeds: BTreeSet<SocketAddr>,
     config: Option<Stamp>,
     progress: Option<Progress>,
+    /// When a server last answered this node, while it reaches them.
+    reached: Option<Time>,
+    /// When a server last answered other nodes, as they told.
+    pub(super) reached_by: BTreeMap<Name, Time>,
     relays: Vec<Relay>,
     next_round: Time,
     last_received: Option<Time>,
@@ -70,6 +77,8 @@
             seeds: BTreeSet::new(),
             config: None,
             progress: None,
+            reached: None,
+            reached_by: BTreeMap::new(),
             relays: Vec::new(),
             next_round: now,
             last_received: None,
@@ -113,6 +122,11 @@
         self.progress = Some(progress);
     }
 
+    /// Records when a server last answered this node, or nothing if it reaches none.
+    pub fn set_reached(&mut self, reached: Option<Time>) {
+        self.reached = reached;
+    }
+
     /// Records that this node has read the platform.
     pub fn on_platform_read(&mut self, now: Time) {
         self.last_platform_read = now;
@@ -189,6 +203,11 @@
         self.last_received = Some(now);
         let age = PLATFORM_AGE_UNIT * u32::from(packet.platform_age);
         self.last_platform_read = self.last_platform_read.max(now.before(age));
+        let reached = packet.reach_age.map(|it| now.before(REACH_AGE_UNIT * u32::from(it)));
+        match reached {
+            Some(reached) => self.reached_by.insert(packet.from.name.clone(), reached),
+            None => self.reached_by.remove(&packet.from.name),
+        };
         let sender = packet.from.clone();
         let mut actions = self.on_sender(&packet, now);
         actions.extend(self.on_news(packet.news, &sender, now, rng));
@@ -219,6 +238,7 @@
         actions.extend(self.suspect_unanswered(now, rng));
         actions.extend(self.expire_suspects(now, rng));
         self.roster.remove_dead(self.settings.dead_retention, now);
+        self.reached_by.retain(|_, it| now.since(*it) < MAX_REACH_AGE);
         actions.extend(self.probe(now, rng));
         actions
     }
@@ -492,8 +512,11 @@
         let age = self.now.since(self.last_platform_read);
         let age = age.as_millis().div_ceil(PLATFORM_AGE_UNIT.as_millis());
         let platform_age = u16::try_from(age).unwrap_or(u16::MAX);
+        let reach_age = self.reached.map(|it| self.now.since(it).as_millis());
+        let reach_age = reach_age.map(|it| it.div_ceil(REACH_AGE_UNIT.as_millis()));
         Packet {
             from: self.own.clone(),
+            reach_age: reach_age.and_then(|it| u8::try_from(it).ok()),
             kind,
             config: self.config,
             progress: self.progress,
--- a/crates/core/src/member/record.rs
+++ b/crates/core/src/member/record.rs
@@ -13,7 +13,8 @@
     pub data_centre: Name,
     /// The roles of the node.
     pub roles: Roles,
-    /// The address at which the node receives packets.
+    /// The address at which the node receives packets, and relayed requests if it sends requests
+    /// straight to servers.
     pub peer: SocketAddr,
     /// The address at which the node takes calls.
     pub rpc: SocketAddr,
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod lapsed_entries;
 mod late_news;
 mod load_patterns;
+mod lost_servers;
 mod merged_records;
 mod mirror_updates;
 mod planned_stop;
--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -15,7 +15,7 @@
 
 /// The longest idle time of a connection that may carry a request that must not be sent twice: a
 /// connection that has been idle for longer may be dead or about to be closed.
-const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_000);
+pub const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_000);
 
 /// A request as it is sent to servers, without the headers that differ between attempts.
 #[derive(Clone, Debug)]
--- a/crates/direct/src/backend/mod.rs
+++ b/crates/direct/src/backend/mod.rs
@@ -2,6 +2,7 @@
 
 mod classify;
 mod exchange;
+mod health;
 mod limited;
 mod link;
 mod pool;
@@ -9,7 +10,8 @@
 
 pub use self::{
     classify::classify,
-    exchange::{Completion, Outgoing, exchange},
+    exchange::{Completion, ONCE_MAX_IDLE, Outgoing, exchange},
+    health::{HealthError, ask_health},
     link::{Link, LinkError},
     pool::Pool,
     reply::Reply,
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -51,6 +51,10 @@
 pub const DISCONTINUED: Event = Event::new(5116, Level::Warn, "watch discontinued");
 /// A content is refused from now on because it crashes servers.
 pub const QUARANTINED: Event = Event::new(5118, Level::Warn, "content quarantined");
+/// No server answers this node any more.
+pub const SERVERS_LOST: Event = Event::new(5119, Level::Warn, "no server answers");
+/// A server answers this node again.
+pub const SERVERS_REGAINED: Event = Event::new(5120, Level::Info, "servers answer again");
 /// A server has stated a limit on its requests, or no longer states one.
 pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
 
@@ -58,6 +62,8 @@
 pub const SERVED: Event = Event::new(5201, Level::Info, "request served");
 /// A request was served with some shards missing.
 pub const PARTIAL: Event = Event::new(5202, Level::Info, "request served in part");
+/// Another node has served a request, or was asked to, as this one reaches no server.
+pub const RELAYED: Event = Event::new(5208, Level::Info, "request relayed");
 /// A request was refused and has not run.
 pub const REFUSED: Event = Event::new(5203, Level::Info, "request refused");
 /// A request failed.
--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -9,7 +9,7 @@
     sync::watch,
 };
 
-use super::serve::serve;
+use super::serve::{Origin, serve};
 use crate::{events, node::Shared};
 
 /// How long to wait after a connection could not be accepted, usually for lack of descriptors.
@@ -21,11 +21,12 @@
 /// The smallest buffer size that the HTTP library accepts.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
 
-/// Accepts connections of callers until the planned stop closes the listener.
+/// Accepts connections of callers or other nodes until the planned stop closes the listener.
 pub async fn accept(
     shared: Rc<Shared>,
     listener: TcpListener,
     phase: watch::Receiver<Option<Phase>>,
+    origin: Origin,
 ) {
     let mut closing = phase.clone();
     loop {
@@ -33,7 +34,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
                     let (shared, phase) = (shared.clone(), phase.clone());
-                    tokio::task::spawn_local(connection(shared, stream, phase));
+                    tokio::task::spawn_local(connection(shared, stream, phase, origin));
                 }
                 Err(error) => {
                     events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]);
@@ -49,6 +50,7 @@
     shared: Rc<Shared>,
     stream: TcpStream,
     mut phase: watch::Receiver<Option<Phase>>,
+    origin: Origin,
 ) {
     let limits = shared.plan().map_or_else(Limits::default, |it| *it.limits());
     let keepalive =
@@ -57,7 +59,7 @@
     // stays open longer after the caller is gone.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let service = service_fn(|request| serve(shared.clone(), request));
+    let service = service_fn(|request| serve(shared.clone(), request, origin));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout counts from the last answer, so it includes the idle time of the connection.
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -4,7 +4,6 @@
 use mimosabridge::{
     balance::Stated,
     fingerprint::Fingerprint,
-    name::Name,
     plan::{Plan, Target},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
     time::Time,
@@ -13,7 +12,9 @@
 use super::{
     evidence,
     incoming::Query,
+    relay::relay,
     respond::{self, Answer},
+    serve::Origin,
 };
 use crate::{
     backend::{Completion, LinkError, Outgoing, Reply, exchange},
@@ -46,13 +47,27 @@
 }
 
 /// Serves a valid request and returns the answer to the caller.
-pub async fn drive(shared: Rc<Shared>, plan: Arc<Plan>, query: Query, id: String) -> Answer {
+pub async fn drive(
+    shared: Rc<Shared>,
+    plan: Arc<Plan>,
+    query: Query,
+    id: String,
+    origin: Origin,
+) -> Answer {
     let started_at = shared.now();
+    let deadline = started_at + query.caller_timeout.min(query.rule.timeout);
+    if origin == Origin::Caller
+        && let Some(answer) = relay(&shared, &query.rule, &query.outgoing, deadline).await
+    {
+        return answer;
+    }
     let is_suspect = shared.is_suspect(query.fingerprint);
     let run = {
         let balancer = &mut shared.state.borrow_mut().balancer;
-        let mut context = Context { balancer, plan: &plan, now: started_at };
-        let run = Run::new(query.rule, query.caller_timeout, &mut context);
+        let now = shared.now();
+        let caller_timeout = query.caller_timeout.saturating_sub(now.since(started_at));
+        let mut context = Context { balancer, plan: &plan, now };
+        let run = Run::new(query.rule, caller_timeout, &mut context);
         if is_suspect { run.with_canary() } else { run }
     };
     let mut execution = Execution {
@@ -68,8 +83,12 @@
         is_answered: false,
     };
     let verdict = execution.execute().await;
-    let answer = execution.answer(verdict);
+    let mut answer = execution.answer(&verdict);
     execution.is_answered = true;
+    if origin == Origin::Caller && matches!(verdict, Verdict::Refuse(_)) {
+        let Execution { shared, run, outgoing, .. } = &execution;
+        answer = relay(shared, run.rule(), outgoing, deadline).await.unwrap_or(answer);
+    }
     if !execution.attempts.is_empty() {
         tokio::task::spawn_local(execution.linger());
     }
@@ -112,17 +131,11 @@
     /// Gives up the attempts under way. `is_silent` says that their servers had time to answer.
     fn give_up(&mut self, is_silent: bool) {
         for attempt in self.run.under_way() {
-            let path = self.health_path(attempt);
-            evidence::record_given_up(&self.shared, self.fingerprint, attempt, path);
+            evidence::record_given_up(&self.shared, &self.plan, self.fingerprint, attempt);
         }
         self.decide(|run, context| run.abandon(is_silent, context));
     }
 
-    /// Returns the path of the health check of an attempt's server.
-    fn health_path(&self, attempt: &Attempt) -> Option<&Name> {
-        self.plan.service(&attempt.server.service).map(|it| &it.health_path)
-    }
-
     fn decide<T>(&mut self, decision: impl FnOnce(&mut Run, &mut Context<'_>) -> T) -> T {
         let balancer = &mut self.shared.state.borrow_mut().balancer;
         let mut context = Context { balancer, plan: &self.plan, now: self.shared.now() };
@@ -157,8 +170,7 @@
         if self.is_duplicate(completion.end, completion.reply.as_ref()) {
             completion.end = End::Invalid;
         }
-        let path = self.health_path(&attempt);
-        evidence::record(&self.shared, self.fingerprint, &attempt, &completion, path);
+        evidence::record(&self.shared, &self.plan, self.fingerprint, &attempt, &completion);
         let Completion { end, reply, error } = completion;
         self.shared.metrics.on_attempt(&attempt.server.service, end);
         if end != End::Served {
@@ -201,11 +213,11 @@
         end == End::Served && known.any(|it| it == signature)
     }
 
-    fn answer(&mut self, verdict: Verdict) -> Answer {
+    fn answer(&mut self, verdict: &Verdict) -> Answer {
         let latency = self.shared.now().since(self.started_at);
-        self.log_verdict(&verdict, latency);
+        self.log_verdict(verdict, latency);
         match verdict {
-            Verdict::Pass(number) => match self.replies.remove(&number) {
+            Verdict::Pass(number) => match self.replies.remove(number) {
                 Some(reply) => respond::pass(reply),
                 None => respond::failed(mimosabridge::scatter::Failure::Broken),
             },
@@ -216,12 +228,12 @@
                 };
                 let parts: Vec<_> = attempts.iter().filter_map(|it| self.replies.get(it)).collect();
                 let body = merge(parts.iter().map(|it| &it.body[..]), top);
-                respond::merged(body, &parts, missing, &self.shared.headers)
+                respond::merged(body, &parts, *missing, &self.shared.headers)
             }
             Verdict::Refuse(refusal) => {
                 respond::refused(refusal.retry_after, "no server can take this request now")
             }
-            Verdict::Fail(failure) => respond::failed(failure),
+            Verdict::Fail(failure) => respond::failed(*failure),
         }
     }
 
--- a/crates/direct/src/front/evidence.rs
+++ b/crates/direct/src/front/evidence.rs
@@ -1,19 +1,15 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
-use bytes::Bytes;
-use http::{HeaderValue, Request, header};
-use http_body_util::Full;
 use mimosabridge::{
     directory::Entry,
     fingerprint::Fingerprint,
-    name::Name,
+    plan::Plan,
     quarantine::{Loss, Sign},
     scatter::{Attempt, End},
 };
-use snafu::Snafu;
 
 use crate::{
-    backend::{Completion, Link, LinkError},
+    backend::{Completion, HealthError, LinkError, ask_health},
     node::Shared,
 };
 
@@ -28,16 +24,26 @@
 /// there was no answer.
 const GIVEN_UP_AFTER: Duration = Duration::from_secs(1);
 
-/// Records what the end of an attempt tells about its content and its server, which has a health
-/// check at a path.
+/// The time from which an attempt that is given up shows that its server may not be reached.
+const UNREACHED_AFTER: Duration = Duration::from_millis(300);
+
+/// Records what the end of an attempt tells about its content, its server and the network.
 pub fn record(
     shared: &Rc<Shared>,
+    plan: &Arc<Plan>,
     fingerprint: Fingerprint,
     attempt: &Attempt,
     completion: &Completion,
-    health_path: Option<&Name>,
 ) {
     let id = &attempt.server.id;
+    match completion.end {
+        End::Served | End::Failed | End::Shed | End::Misdirected | End::Invalid => {
+            shared.on_reached();
+        }
+        End::Broken | End::Silent => shared.on_unreached(id),
+        End::Unsent if completion.error.is_some() => shared.on_unreached(id),
+        End::Unsent => {}
+    }
     let is_signed = completion.reply.as_ref().is_some_and(|it| it.signature.is_some());
     let loss = match completion.end {
         End::Served | End::Failed => return shared.on_content_answered(fingerprint, attempt),
@@ -54,77 +60,55 @@
         End::Broken | End::Invalid => Loss::Broken,
         End::Silent => Loss::Silent,
     };
-    record_loss(shared, fingerprint, attempt, loss, health_path);
+    record_loss(shared, plan, fingerprint, attempt, loss);
 }
 
 /// Records that an attempt was given up without an end.
 pub fn record_given_up(
     shared: &Rc<Shared>,
+    plan: &Arc<Plan>,
     fingerprint: Fingerprint,
     attempt: &Attempt,
-    health_path: Option<&Name>,
 ) {
-    if shared.now().since(attempt.sent) >= GIVEN_UP_AFTER {
-        record_loss(shared, fingerprint, attempt, Loss::Silent, health_path);
+    let age = shared.now().since(attempt.sent);
+    if age >= UNREACHED_AFTER {
+        shared.on_unreached(&attempt.server.id);
+    }
+    if age >= GIVEN_UP_AFTER {
+        record_loss(shared, plan, fingerprint, attempt, Loss::Silent);
     }
 }
 
 fn record_loss(
     shared: &Rc<Shared>,
+    plan: &Arc<Plan>,
     fingerprint: Fingerprint,
     attempt: &Attempt,
     loss: Loss,
-    health_path: Option<&Name>,
 ) {
     let server = &attempt.server;
-    if !shared.on_lost(fingerprint, server, loss, attempt.sent) {
-        return;
+    if shared.on_lost(fingerprint, server, loss, attempt.sent) {
+        tokio::task::spawn_local(check(shared.clone(), server.clone(), plan.clone()));
     }
-    let health_path = health_path.cloned().unwrap_or_else(|| Name::new("/"));
-    tokio::task::spawn_local(check(shared.clone(), server.clone(), health_path));
 }
 
 /// Checks the health of a server that did not answer, to learn whether it has ended: the requests to
 /// come may avoid it until it runs again. A connection that is accepted shows nothing.
-async fn check(shared: Rc<Shared>, server: Arc<Entry>, health_path: Name) {
+async fn check(shared: Rc<Shared>, server: Arc<Entry>, plan: Arc<Plan>) {
     tokio::time::sleep(CHECK_DELAY).await;
     let since = shared.now();
-    let health = tokio::time::timeout(CHECK_TIMEOUT, ask(&shared, &server, &health_path));
-    match health.await {
-        Ok(Ok(Some(id))) if id == server.id.as_str() => shared.on_answered(&server.id, since),
+    let Shared { pool, clock, headers, .. } = &*shared;
+    let health = ask_health(pool, *clock, &server, &plan, &headers.server_id);
+    match tokio::time::timeout(CHECK_TIMEOUT, health).await {
+        Ok(Ok(Some(id))) if id == server.id => shared.on_answered(&server.id, since),
         Ok(Ok(Some(_))) => shared.on_sign(&server.id, Sign::Replaced),
-        Ok(Err(CheckError::Link { source })) => {
+        Ok(Err(HealthError::Link { source })) => {
             if let Some(sign) = source.sign() {
                 shared.on_sign(&server.id, sign);
             }
         }
         // No answer, or one without a name, shows nothing.
-        Ok(Ok(None) | Err(CheckError::Request { .. })) | Err(_) => {}
+        Ok(Ok(None) | Err(HealthError::Request { .. })) | Err(_) => {}
     }
     shared.on_checked(&server.id);
 }
-
-#[derive(Debug, Snafu)]
-enum CheckError {
-    #[snafu(display("the check can't be sent: {source}"), context(false))]
-    Request { source: http::Error },
-    #[snafu(display("{source}"), context(false))]
-    Link { source: LinkError },
-}
-
-/// Asks a server for its health. Returns the name that it gives in its answer, if any.
-async fn ask(
-    shared: &Shared,
-    server: &Entry,
-    health_path: &Name,
-) -> Result<Option<String>, CheckError> {
-    let host = server.address.to_string();
-    let request = Request::get(health_path.as_str()).header(header::HOST, host);
-    let request = request.body(Full::new(Bytes::new()))?;
-    let mut link = Link::open(server.address, shared.now()).await?;
-    let answer = link.exchange(request).await?;
-    let id = answer.headers().get(&shared.headers.server_id).map(HeaderValue::to_str);
-    let id = id.and_then(Result::ok).map(str::to_owned);
-    shared.pool.keep(&server.id, link, shared.now()).await;
-    Ok(id)
-}
--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -4,7 +4,8 @@
 mod drive;
 mod evidence;
 mod incoming;
+mod relay;
 mod respond;
 mod serve;
 
-pub use self::accept::accept;
+pub use self::{accept::accept, serve::Origin};
--- a/crates/direct/src/front/respond.rs
+++ b/crates/direct/src/front/respond.rs
@@ -48,6 +48,13 @@
     answer
 }
 
+/// Returns the answer of another node without its hop-by-hop headers, otherwise unchanged.
+pub fn relayed(answer: Response<Bytes>) -> Answer {
+    let mut answer = answer.map(Full::new);
+    wire::strip(answer.headers_mut());
+    answer
+}
+
 /// Returns the merged answer of several servers.
 pub fn merged(body: Vec<u8>, parts: &[&Reply], missing: usize, names: &Headers) -> Answer {
     let mut answer = Response::new(Full::new(Bytes::from(body)));
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -7,6 +7,7 @@
 use super::{
     drive::drive,
     incoming::{self, Rejection},
+    relay::NOT_SERVED,
     respond::{self, Answer},
 };
 use crate::{events, node::Shared};
@@ -14,36 +15,66 @@
 /// The `Retry-After` time of a node that has no configuration yet.
 const UNCONFIGURED_RETRY: Duration = Duration::from_millis(500);
 
+/// The `Retry-After` time of a node that reaches no server.
+const UNREACHED_RETRY: Duration = Duration::from_millis(500);
+
 /// The `Retry-After` time of a content that crashes servers, as long as crashes are remembered.
 const QUARANTINED_RETRY: Duration = Duration::from_secs(300);
 
+/// Who sends a request to this node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Origin {
+    /// A caller.
+    Caller,
+    /// Another node, for a caller of its own, as it reaches no server.
+    Node,
+}
+
 /// Serves one request.
-pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>) -> Result<Answer, Infallible> {
+pub async fn serve(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Result<Answer, Infallible> {
     let running = Running::new(shared.clone());
-    let mut answer = answer(&shared, request).await;
-    if shared.state.borrow().stop.is_some() {
-        // Makes the caller send its next request to a node that is not stopping.
+    let mut answer = match answer(&shared, request, origin).await {
+        Ok(answer) => answer,
+        Err(mut answer) => {
+            if origin == Origin::Node {
+                answer.headers_mut().insert(NOT_SERVED, HeaderValue::from_static("1"));
+            }
+            answer
+        }
+    };
+    if shared.state.borrow().stop.is_some() || origin == Origin::Caller && shared.is_stranded() {
+        // Makes the caller send its next request to another node.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     drop(running);
     Ok(answer)
 }
 
-async fn answer(shared: &Rc<Shared>, request: Request<Incoming>) -> Answer {
+/// Returns the answer to a request. It is an error if this node can't serve the request, and
+/// another one may.
+async fn answer(
+    shared: &Rc<Shared>,
+    request: Request<Incoming>,
+    origin: Origin,
+) -> Result<Answer, Answer> {
     let (head, body) = request.into_parts();
     let id = id(&head, shared);
     let Some(plan) = shared.plan() else {
         events::REFUSED.emit(&[("id", &id), ("reason", &"no configuration is known yet")]);
-        return respond::refused(UNCONFIGURED_RETRY, "this node has just started");
+        return Err(respond::refused(UNCONFIGURED_RETRY, "this node has just started"));
     };
     let rule = match incoming::find_rule(&head, &plan) {
         Ok(rule) => rule,
-        Err(rejection) => return reject(&id, plan.version(), None, rejection),
+        Err(rejection) => return Err(reject(&id, plan.version(), None, rejection)),
     };
     let query = incoming::read(head, body, rule.clone(), &plan, &shared.headers).await;
     let query = match query {
         Ok(query) => query,
-        Err(rejection) => return reject(&id, plan.version(), Some(&rule), rejection),
+        Err(rejection) => return Err(reject(&id, plan.version(), Some(&rule), rejection)),
     };
     let now = shared.now();
     if shared.state.borrow().quarantine.is_quarantined(query.fingerprint, now) {
@@ -55,9 +86,13 @@
             ("fingerprint", &query.fingerprint),
             ("reason", &"the content crashes servers"),
         ]);
-        return respond::refused(QUARANTINED_RETRY, "this content crashes backend servers");
+        return Ok(respond::refused(QUARANTINED_RETRY, "this content crashes backend servers"));
+    }
+    if origin == Origin::Node && shared.has_lost_servers() {
+        events::REFUSED.emit(&[("id", &id), ("reason", &"no server answers this node, either")]);
+        return Err(respond::refused(UNREACHED_RETRY, "no server answers this node"));
     }
-    drive(shared.clone(), plan, query, id).await
+    Ok(drive(shared.clone(), plan, query, id, origin).await)
 }
 
 fn reject(id: &str, version: u64, rule: Option<&Rule>, (status, text): Rejection) -> Answer {
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -23,6 +23,10 @@
     pub missing_shards: IntCounter,
     /// The number of requests refused because their content crashes servers.
     pub quarantine_refusals: IntCounter,
+    /// The requests relayed to other nodes, by outcome.
+    pub relayed: IntCounterVec,
+    /// Whether no server answers this node.
+    pub has_lost_servers: IntGauge,
     /// The number of contents with at least one crash.
     pub suspect_contents: IntGauge,
     /// The number of hedged attempts.
@@ -63,6 +67,8 @@
                 "quarantine_refusals_total",
                 "Requests refused because their content crashes servers.",
             ),
+            relayed: counters("relayed_total", "Requests relayed to other nodes.", &["outcome"]),
+            has_lost_servers: gauge("lost_servers", "1 while no server answers this node."),
             suspect_contents: gauge("suspect_contents", "Contents held against a crash."),
             missing_shards: counter("missing_shards_total", "Shards that answers lacked."),
             hedges: counter("hedges_total", "Second attempts beside one that was late."),
@@ -101,12 +107,14 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 16] = [
+        let collectors: [Box<dyn Collector>; 18] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.attempts.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.quarantine_refusals.clone()),
+            Box::new(self.relayed.clone()),
+            Box::new(self.has_lost_servers.clone()),
             Box::new(self.suspect_contents.clone()),
             Box::new(self.missing_shards.clone()),
             Box::new(self.hedges.clone()),
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -13,7 +13,11 @@
 };
 
 use super::{PAUSE_THRESHOLD, Settings, Shared, admin};
-use crate::{events, feed, front, peers};
+use crate::{
+    events, feed,
+    front::{self, Origin},
+    peers,
+};
 
 /// How often state that depends on time is updated.
 const TICK_INTERVAL: Duration = Duration::from_millis(250);
@@ -43,6 +47,9 @@
         listener.with_context(|_| StartSnafu { what: what("callers", settings.front) })?;
     let socket = UdpSocket::bind(settings.peer).await;
     let socket = socket.with_context(|_| StartSnafu { what: what("peers", settings.peer) })?;
+    let relays = TcpListener::bind(settings.peer).await;
+    let relays =
+        relays.with_context(|_| StartSnafu { what: what("relayed requests", settings.peer) })?;
     let rpc = TcpListener::bind(settings.rpc).await;
     let rpc = rpc.with_context(|_| StartSnafu { what: what("calls", settings.rpc) })?;
     let mut terminate =
@@ -78,7 +85,9 @@
         exchange.clone(),
     ));
     let (phases, phase) = watch::channel(None);
-    tokio::task::spawn_local(front::accept(shared.clone(), listener, phase));
+    let callers = front::accept(shared.clone(), listener, phase.clone(), Origin::Caller);
+    tokio::task::spawn_local(callers);
+    tokio::task::spawn_local(front::accept(shared.clone(), relays, phase, Origin::Node));
 
     let mut ticks = timer.every(TICK_INTERVAL);
     loop {
@@ -117,12 +126,14 @@
     Ok(())
 }
 
-fn on_tick(shared: &Shared, tick: timer::Tick) {
+fn on_tick(shared: &Rc<Shared>, tick: timer::Tick) {
     if tick.late >= PAUSE_THRESHOLD {
         events::PAUSED.emit(&[("millis", &tick.late.as_millis())]);
         shared.resumed.notify_waiters();
     }
     shared.pool.expire(tick.now);
+    shared.relay_pool.expire(tick.now);
+    shared.check_reach(tick.now);
     shared.update_evidence(tick.now);
     let changes = shared.update_mirror(|mirror, balancer, _| mirror.tick(balancer, tick.now));
     shared.on_changes(&changes, "time");
--- a/crates/direct/src/node/settings.rs
+++ b/crates/direct/src/node/settings.rs
@@ -16,7 +16,8 @@
     pub ready: SocketAddr,
     /// The address on which metrics are served, if any.
     pub metrics: Option<SocketAddr>,
-    /// The address on which the node receives packets of other nodes.
+    /// The address on which the node receives packets of other nodes, over UDP, and requests that
+    /// they relay, over TCP.
     pub peer: SocketAddr,
     /// The address on which the node serves calls of other nodes.
     pub rpc: SocketAddr,
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -15,6 +15,7 @@
     fingerprint::Fingerprint,
     plan::Plan,
     quarantine::{Detector, List, Sign},
+    reach::{Reach, Status},
     stop::Stop,
     time::Time,
 };
@@ -34,6 +35,8 @@
     pub headers: Headers,
     /// The idle connections to servers.
     pub pool: Pool,
+    /// The idle connections to other nodes, for requests that they serve in the place of this one.
+    pub relay_pool: Pool,
     /// What the node knows of the fleet, and its requests in progress.
     pub state: RefCell<State>,
     /// The metrics of the node.
@@ -50,6 +53,8 @@
     pub balancer: Balancer,
     /// The local mirror of the published facts.
     pub mirror: Mirror,
+    /// Whether this node reaches the servers.
+    pub reach: Reach,
     /// The contents that crash servers.
     pub quarantine: List,
     /// The lost attempts that are not yet known to be crashes or not.
@@ -65,13 +70,16 @@
 impl Shared {
     /// Creates the state of a node without a configuration or servers.
     pub fn new(headers: Headers, settings: balance::Settings, seed: u64) -> Shared {
+        let clock = Clock::new();
         Shared {
-            clock: Clock::new(),
+            clock,
             headers,
             pool: Pool::new(),
+            relay_pool: Pool::new(),
             state: RefCell::new(State {
                 balancer: Balancer::new(settings, seed),
                 mirror: Mirror::new(),
+                reach: Reach::new(clock.now()),
                 quarantine: List::new(),
                 crash_detector: Detector::new(),
                 unpushed_contents: BTreeSet::new(),
@@ -98,7 +106,9 @@
     pub fn refresh_ready(&self) {
         let state = self.state.borrow();
         let is_configured = state.mirror.plan().is_some() && !state.balancer.directory().is_empty();
-        self.is_ready.store(is_configured && state.stop.is_none(), Ordering::Relaxed);
+        let is_stranded = state.reach.status(self.now()) == Status::Stranded;
+        let is_ready = is_configured && state.stop.is_none() && !is_stranded;
+        self.is_ready.store(is_ready, Ordering::Relaxed);
     }
 
     /// Updates the mirror and the servers, as of now. Returns the changes, for
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -210,6 +210,7 @@
         let actions = {
             let mut peer = self.peer.borrow_mut();
             let state = self.shared.state.borrow();
+            peer.set_reached(state.reach.answered());
             peer.set_reserve(state.quarantine.news_bytes() + state.mirror.restriction_bytes());
             drop(state);
             if tick.late >= PAUSE_THRESHOLD {
@@ -222,6 +223,8 @@
         self.report(tick.now);
         self.push_crashes(tick.now);
         self.update_node_count(tick.now);
+        let helpers = self.peer.borrow().helpers(tick.now);
+        self.shared.state.borrow_mut().reach.set_helpers(helpers);
     }
 
     /// Returns up to where this node knows the published facts.
--- a/crates/direct/src/peers/news.rs
+++ b/crates/direct/src/peers/news.rs
@@ -20,8 +20,12 @@
         }
         self.next_report.set(now + REPORT_INTERVAL);
         let (samples, unlimited) = {
-            let balancer = &mut self.shared.state.borrow_mut().balancer;
-            (balancer.report(now), balancer.take_unlimited())
+            let state = &mut *self.shared.state.borrow_mut();
+            let mut samples = state.balancer.report(now);
+            if !state.reach.is_witness(now) {
+                samples.clear();
+            }
+            (samples, state.balancer.take_unlimited())
         };
         if !unlimited.is_empty() {
             self.push_nearby(News::Unlimited(unlimited));
--- a/crates/direct/tests/node/stranded_nodes.rs
+++ b/crates/direct/tests/node/stranded_nodes.rs
@@ -10,7 +10,8 @@
 };
 use rstest::rstest;
 use tokio::{
-    net::TcpListener,
+    io::copy_bidirectional,
+    net::{TcpListener, TcpStream},
     time::{Instant, sleep, timeout},
 };
 
@@ -37,7 +38,6 @@
     servers: Vec<Server>,
     dead: Vec<SocketAddr>,
     /// What listens at these addresses, unless they refuse connections.
-    #[expect(dead_code, reason = "it is only kept open")]
     silent: Vec<TcpListener>,
 }
 
@@ -60,21 +60,38 @@
         Place { servers, dead, silent }
     }
 
-    fn snapshot(&self, revision: u64, is_cut: bool) -> Snapshot {
+    fn snapshot(&self, is_cut: bool) -> Snapshot {
         let entries = self.servers.iter().zip(&self.dead).map(|(server, dead)| {
             let entry = entry(server);
             let address = if is_cut { *dead } else { entry.address };
             Fact::Server(Entry { address, ..entry })
         });
-        Snapshot { position: Position::new(0, revision), facts: facts(entries) }
+        Snapshot { position: Position::new(0, 5), facts: facts(entries) }
     }
 
     async fn start(&self, name: &str, is_cut: bool, seeds: &[&Node]) -> Node {
-        let published = Rc::new(RefCell::new(self.snapshot(5, is_cut)));
+        let published = Rc::new(RefCell::new(self.snapshot(is_cut)));
         let seeds: BTreeSet<_> = seeds.iter().map(|it| it.peer).collect();
         Node::start_with(name, published, seeds).await
     }
 
+    /// Ends the cut: what is sent to the addresses reaches the servers.
+    fn heal(&mut self) {
+        for (listener, server) in self.silent.drain(..).zip(&self.servers) {
+            let address = server.address;
+            tokio::task::spawn_local(async move {
+                while let Ok((mut near, _)) = listener.accept().await {
+                    tokio::task::spawn_local(async move {
+                        let far = TcpStream::connect(address).await;
+                        let mut far = far.expect("the server accepts");
+                        // Either side may break off.
+                        let _ = copy_bidirectional(&mut near, &mut far).await;
+                    });
+                }
+            });
+        }
+    }
+
     fn arrivals(&self) -> usize {
         self.servers.iter().map(Server::arrivals).sum()
     }
@@ -84,21 +101,24 @@
 async fn served(node: &Node, path: &str) -> usize {
     let mut served = 0;
     for number in 0..REQUESTS {
-        let text = request("GET", &format!("{path}{number}"), "r", "");
-        let text = text.replace("x-deadline: 15000", "x-deadline: 900");
-        let answer = timeout(CALLER_TIME, ask(node.front, &text)).await.ok().flatten();
-        served += usize::from(answer.is_some_and(|it| it.status == 200));
+        served += usize::from(is_served(node, &format!("{path}{number}")).await);
     }
     served
 }
 
+/// Asks a node for a path. Returns whether it is served.
+async fn is_served(node: &Node, path: &str) -> bool {
+    let text = request("GET", path, "r", "").replace("x-deadline: 15000", "x-deadline: 900");
+    let answer = timeout(CALLER_TIME, ask(node.front, &text)).await.ok().flatten();
+    answer.is_some_and(|it| it.status == 200)
+}
+
 /// Uses a node until it has had time to notice that it is cut off.
 async fn use_for(span: Duration, nodes: &[&Node]) {
     let end = Instant::now() + span;
     while Instant::now() < end {
         for node in nodes {
-            let text = request("GET", "/all/x", "r", "");
-            let _ = timeout(Duration::from_millis(200), ask(node.front, &text)).await;
+            is_served(node, "/all/x").await;
         }
         sleep(Duration::from_millis(20)).await;
     }
@@ -128,14 +148,14 @@
 #[test]
 fn ready_while_stranded() {
     run(async {
-        let place = Place::new(Cut::Silent).await;
+        let mut place = Place::new(Cut::Silent).await;
         let sound = place.start("sound", false, &[]).await;
         let stranded = place.start("stranded", true, &[&sound]).await;
         use_for(STABLE_TIME, &[&sound, &stranded]).await;
         let ready = async |node: &Node| get(node.ready, "/ready").await.map(|it| it.status);
         assert_eq!(ready(&stranded).await, Some(503));
         assert_eq!(ready(&sound).await, Some(200));
-        *stranded.published.borrow_mut() = place.snapshot(6, false);
+        place.heal();
         while ready(&stranded).await != Some(200) {
             sleep(Duration::from_millis(20)).await;
         }
