Check servers over new connections before a node counts as stranded

Cause: the loss was inferred from the answers to requests. Old connections answer, which ended it after some 10 ms, again and again; and a query over all shards needs more servers than the half that had to fail.

Change: three servers that fail, or that are silent while no other answers, are a reason to check three others over new connections. If none answers, the node has lost the servers; two such checks in a row end it. Servers that are slow or down leave others that answer, so they lead to a check each 0.5 s at most.

scripts/test passes; lost_servers tells each case apart.

--- a/crates/core/src/reach/reach.rs
+++ b/crates/core/src/reach/reach.rs
@@ -1,20 +1,26 @@
-use std::{
-    collections::{HashMap, HashSet},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use rand::{Rng, seq::IteratorRandom};
 
 use super::Helper;
 use crate::{name::Name, time::Time};
 
-/// This node may have lost the servers if none has answered for this time. It is longer than servers
+/// Answers that do not come show something if none has come for this time. It is longer than servers
 /// pause, and than most requests take.
 const MIN_SILENCE: Duration = Duration::from_millis(500);
 
-/// This node has lost the servers if this many of them have not answered in that time.
+/// The number of servers that must fail before this node asks others whether it reaches them.
 const MIN_SERVERS: usize = 3;
 
+/// How long a failure of a server counts.
+const WINDOW: Duration = Duration::from_secs(2);
+
+/// How soon this node doubts again that it reaches servers after some have answered its checks.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
+/// The number of checks in a row that must be answered before this node reaches the servers again.
+const MIN_ANSWERS: u32 = 2;
+
 /// How long a node that could not help is left alone.
 const HELPER_BACKOFF: Duration = Duration::from_secs(1);
 
@@ -24,12 +30,19 @@
 
 /// Whether this node reaches the servers.
 ///
-/// That no server answers shows a cut only if other nodes are answered: else the servers are down.
+/// Some servers that fail are a reason to check others, over new connections, as old ones may live
+/// on while new ones are refused. If none of these answers, this node has lost the servers. That
+/// shows a cut only if other nodes reach them: else the servers are down.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
     answered: Time,
-    /// The servers that have not answered since.
-    failed: HashSet<Name>,
+    /// When servers failed.
+    failures: HashMap<Name, Time>,
+    is_checking: bool,
+    /// When checks last showed that this node reaches the servers.
+    checked: Option<Time>,
+    /// The checks in a row that were answered since this node lost the servers.
+    answers: u32,
     helpers: Vec<Helper>,
     /// Until when nodes that could not help are left alone.
     avoided: HashMap<Name, Time>,
@@ -41,9 +54,9 @@
 pub enum Status {
     /// Servers answer, or nothing shows that they do not.
     Reached,
-    /// No server answers this node or any other that it knows of.
+    /// This node has lost the servers, and knows of no other that has not.
     Down,
-    /// No server answers this node, and others are answered.
+    /// This node has lost the servers, and others reach them.
     Stranded,
 }
 
@@ -53,41 +66,79 @@
         Reach { answered: now, ..Reach::default() }
     }
 
-    /// Records an answer of a server, also one to a health check. Returns for how long no server had
-    /// answered, if this node had lost them.
-    pub fn on_answer(&mut self, now: Time) -> Option<Duration> {
+    /// Records an answer of a server.
+    pub fn on_answer(&mut self, now: Time) {
         self.answered = now;
-        self.failed.clear();
-        self.lost_since.take().map(|it| now.since(it))
     }
 
-    /// Records that a server did not answer. Returns whether this node has lost the servers with it.
+    /// Records that a connection to a server broke or did not open. Returns whether others must be
+    /// checked; [`Reach::on_checks`] takes the result.
     pub fn on_failure(&mut self, server: &Name, now: Time) -> bool {
-        if !self.failed.contains(server) {
-            self.failed.insert(server.clone());
+        self.failures.retain(|_, it| now.since(*it) < WINDOW);
+        self.failures.insert(server.clone(), now);
+        let was_checked = self.checked.is_some_and(|it| now.since(it) < CHECK_INTERVAL);
+        let is_busy = self.is_checking || was_checked || self.lost_since.is_some();
+        if is_busy || self.failures.len() < MIN_SERVERS {
+            return false;
         }
-        let is_silent = now.since(self.answered) >= MIN_SILENCE;
-        if self.lost_since.is_some() || !is_silent || self.failed.len() < MIN_SERVERS {
+        self.is_checking = true;
+        true
+    }
+
+    /// Records that a server has not answered in time, which shows something only if no other has
+    /// answered either: the server may be slow. Returns whether others must be checked.
+    pub fn on_silence(&mut self, server: &Name, now: Time) -> bool {
+        now.since(self.answered) >= MIN_SILENCE && self.on_failure(server, now)
+    }
+
+    /// Returns whether a server has lately failed.
+    pub fn has_failed(&self, server: &Name) -> bool {
+        self.failures.contains_key(server)
+    }
+
+    /// Returns the number of servers that have lately failed.
+    pub fn failed(&self) -> usize {
+        self.failures.len()
+    }
+
+    /// Records how many of the servers that were checked have answered. Returns whether this node
+    /// has lost the servers.
+    pub fn on_checks(&mut self, answers: usize, now: Time) -> bool {
+        self.is_checking = false;
+        if answers > 0 {
+            self.checked = Some(now);
+            self.failures.clear();
             return false;
         }
-        self.lost_since = Some(self.answered);
+        self.lost_since = Some(now);
+        self.answers = 0;
         true
     }
 
+    /// Records the check of one server while this node has lost them. Returns for how long it had, if
+    /// it reaches them again.
+    pub fn on_check(&mut self, is_answered: bool, now: Time) -> Option<Duration> {
+        let lost_since = self.lost_since?;
+        self.answers = if is_answered { self.answers + 1 } else { 0 };
+        if self.answers < MIN_ANSWERS {
+            return None;
+        }
+        self.failures.clear();
+        self.checked = Some(now);
+        self.lost_since = None;
+        Some(now.since(lost_since))
+    }
+
     /// Returns when a server last answered, unless this node has lost them.
     pub fn answered(&self) -> Option<Time> {
         self.lost_since.is_none().then_some(self.answered)
     }
 
-    /// Returns the number of servers that have not answered since.
-    pub fn failed(&self) -> usize {
-        self.failed.len()
-    }
-
     /// Returns whether what this node observes of servers shows something about them, not about the
     /// network between.
     pub fn is_witness(&self, now: Time) -> bool {
-        self.failed.len() < MIN_SERVERS || now.since(self.answered) < MAX_REPORT_SILENCE
+        let is_silent = now.since(self.answered) >= MAX_REPORT_SILENCE;
+        self.status(now) != Status::Stranded && !(is_silent && self.failures.len() >= MIN_SERVERS)
     }
 
     /// Sets the nodes that have lately reached a server.
--- a/crates/core/tests/direct/lost_servers.rs
+++ b/crates/core/tests/direct/lost_servers.rs
@@ -17,39 +17,87 @@
     Helper { name: Name::new(name), address, is_near }
 }
 
-/// Records that some servers have not answered.
+/// Records that connections to some servers broke. Returns whether others must be checked.
 fn fail(reach: &mut Reach, servers: u16, millis: u64) -> bool {
     let failures = (0..servers).map(|it| reach.on_failure(&entry(it, "one", "a").id, at(millis)));
-    failures.fold(false, |is_lost, it| is_lost | it)
+    failures.fold(false, |is_due, it| is_due | it)
 }
 
-/// One server that fails, or all of them for a moment, is no cut.
-#[rstest]
-#[case(2, 1_000, false)]
-#[case(3, 499, false)]
-#[case(3, 500, true)]
-fn loss_noticed(#[case] servers: u16, #[case] millis: u64, #[case] is_lost: bool) {
+/// Records that some servers do not answer in time. Returns whether others must be checked.
+fn delay(reach: &mut Reach, servers: u16, millis: u64) -> bool {
+    let delays = (0..servers).map(|it| reach.on_silence(&entry(it, "one", "a").id, at(millis)));
+    delays.fold(false, |is_due, it| is_due | it)
+}
+
+/// Lets this node lose the servers.
+fn lose(reach: &mut Reach, millis: u64) {
+    assert!(fail(reach, 3, millis));
+    assert!(reach.on_checks(0, at(millis)));
+}
+
+/// Old connections may answer while new ones are refused.
+#[test]
+fn failures_checked() {
+    let mut reach = Reach::new(at(0));
+    reach.on_answer(at(100));
+    assert!(!fail(&mut reach, 2, 100));
+    assert!(fail(&mut reach, 3, 110));
+    assert!(!fail(&mut reach, 9, 120), "the check is under way");
+    assert!(reach.answered().is_some(), "not before the check has ended");
+    assert!(reach.on_checks(0, at(200)));
+    assert!(reach.answered().is_none());
+    assert!(!fail(&mut reach, 9, 210));
+}
+
+/// Some servers are down, and others answer.
+#[test]
+fn answered_check() {
+    let mut reach = Reach::new(at(0));
+    assert!(fail(&mut reach, 3, 100));
+    assert!(!reach.on_checks(1, at(200)));
+    assert!(!fail(&mut reach, 3, 699), "not checked again at once");
+    assert!(fail(&mut reach, 3, 700));
+}
+
+#[test]
+fn old_failures() {
+    let mut reach = Reach::new(at(0));
+    assert!(!fail(&mut reach, 2, 100));
+    let other = entry(9, "one", "a").id;
+    assert!(!reach.on_failure(&other, at(2_100)), "the first two count no more");
+}
+
+/// Slow servers answer late, but some do.
+#[test]
+fn slow_servers() {
     let mut reach = Reach::new(at(0));
-    assert_eq!(fail(&mut reach, servers, millis), is_lost);
-    assert_eq!(reach.answered().is_none(), is_lost);
-    assert!(!is_lost || !fail(&mut reach, servers, millis + 1), "a loss is told once");
+    for millis in (400..4_000).step_by(400) {
+        assert!(!delay(&mut reach, 9, millis));
+        reach.on_answer(at(millis));
+    }
+    assert!(delay(&mut reach, 9, 4_500));
 }
 
+/// Late answers over old connections do not end a loss, nor does a single check.
 #[test]
-fn answer_ends_loss() {
+fn checks_end_loss() {
     let mut reach = Reach::new(at(0));
-    fail(&mut reach, 3, 500);
-    assert_eq!(reach.on_answer(at(800)), Some(at(0).until(at(800))));
-    assert_eq!(reach.on_answer(at(801)), None);
-    assert_eq!(reach.status(at(801)), Status::Reached);
-    assert!(!fail(&mut reach, 3, 1_200), "the silence begins anew");
+    lose(&mut reach, 500);
+    reach.on_answer(at(700));
+    assert!(reach.answered().is_none());
+    assert_eq!(reach.on_check(true, at(800)), None);
+    assert_eq!(reach.on_check(false, at(810)), None);
+    assert_eq!(reach.on_check(true, at(820)), None);
+    assert_eq!(reach.on_check(true, at(900)), Some(at(500).until(at(900))));
+    assert_eq!(reach.status(at(900)), Status::Reached);
+    assert_eq!(reach.on_check(true, at(950)), None, "told once");
 }
 
 /// No server answers any node.
 #[test]
 fn servers_down() {
     let mut reach = Reach::new(at(0));
-    fail(&mut reach, 3, 500);
+    lose(&mut reach, 500);
     assert_eq!(reach.status(at(500)), Status::Down);
     assert_eq!(reach.helper(&mut StdRng::seed_from_u64(1), at(500)), None);
 }
@@ -59,7 +107,7 @@
     let (mut reach, mut rng) = (Reach::new(at(0)), StdRng::seed_from_u64(1));
     reach.set_helpers(vec![helper("far", false), helper("near", true)]);
     assert_eq!(reach.helper(&mut rng, at(0)), None, "this node reaches servers itself");
-    fail(&mut reach, 3, 500);
+    lose(&mut reach, 500);
     assert_eq!(reach.status(at(500)), Status::Stranded);
     assert_eq!(reach.helper(&mut rng, at(500)), Some(&helper("near", true)));
     reach.on_refusal(&Name::new("near"), at(500));
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -51,9 +51,9 @@
 pub const DISCONTINUED: Event = Event::new(5116, Level::Warn, "watch discontinued");
 /// A content is refused from now on because it crashes servers.
 pub const QUARANTINED: Event = Event::new(5118, Level::Warn, "content quarantined");
-/// No server answers this node any more.
-pub const SERVERS_LOST: Event = Event::new(5119, Level::Warn, "no server answers");
-/// A server answers this node again.
+/// No server that was checked answers this node.
+pub const SERVERS_LOST: Event = Event::new(5119, Level::Warn, "servers lost");
+/// Servers answer this node again.
 pub const SERVERS_REGAINED: Event = Event::new(5120, Level::Info, "servers answer again");
 /// A server has stated a limit on its requests, or no longer states one.
 pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
--- a/crates/direct/src/front/evidence.rs
+++ b/crates/direct/src/front/evidence.rs
@@ -40,8 +40,8 @@
         End::Served | End::Failed | End::Shed | End::Misdirected | End::Invalid => {
             shared.on_reached();
         }
-        End::Broken | End::Silent => shared.on_unreached(id),
-        End::Unsent if completion.error.is_some() => shared.on_unreached(id),
+        End::Broken => shared.on_unreached(id),
+        End::Silent => shared.on_silence(id),
         End::Unsent => {}
     }
     let is_signed = completion.reply.as_ref().is_some_and(|it| it.signature.is_some());
@@ -53,6 +53,7 @@
         End::Unsent => {
             if let Some(sign) = completion.error.as_ref().and_then(LinkError::sign) {
                 shared.on_sign(id, sign);
+                shared.on_unreached(id);
             }
             return;
         }
@@ -72,7 +73,7 @@
 ) {
     let age = shared.now().since(attempt.sent);
     if age >= UNREACHED_AFTER {
-        shared.on_unreached(&attempt.server.id);
+        shared.on_silence(&attempt.server.id);
     }
     if age >= GIVEN_UP_AFTER {
         record_loss(shared, plan, fingerprint, attempt, Loss::Silent);
--- a/crates/direct/src/node/reach.rs
+++ b/crates/direct/src/node/reach.rs
@@ -1,50 +1,48 @@
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
-use mimosabridge::{name::Name, reach::Status, time::Time};
+use futures_util::future::join_all;
+use mimosabridge::{directory::Entry, name::Name, reach::Status, time::Time};
 use rand::seq::IteratorRandom;
 
 use super::Shared;
 use crate::{backend::ask_health, events};
 
-/// How often a node that has lost the servers asks one of them for its health.
-const PROBE_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a server may take to answer a check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// How long a server may take to answer.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// The number of servers that are checked to learn whether this node reaches any.
+const CHECKED_SERVERS: usize = 3;
+
+/// How soon a node that has lost the servers checks the next one.
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How soon it checks the next one if the last has answered.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Shared {
     /// Records that a server answered.
     pub fn on_reached(&self) {
-        let lost = self.state.borrow_mut().reach.on_answer(self.now());
-        let Some(lost) = lost else { return };
-        self.state.borrow_mut().balancer.on_regained();
-        self.metrics.has_lost_servers.set(0);
-        events::SERVERS_REGAINED.emit(&[("lost_millis", &lost.as_millis())]);
-        self.refresh_ready();
+        self.state.borrow_mut().reach.on_answer(self.now());
     }
 
-    /// Records that a server did not answer.
+    /// Records that a connection to a server broke or did not open.
     pub fn on_unreached(self: &Rc<Shared>, server: &Name) {
-        let now = self.now();
-        if !self.state.borrow_mut().reach.on_failure(server, now) {
-            return;
+        if self.state.borrow_mut().reach.on_failure(server, self.now()) {
+            tokio::task::spawn_local(check(self.clone()));
         }
-        self.metrics.has_lost_servers.set(1);
-        {
-            let reach = &self.state.borrow().reach;
-            events::SERVERS_LOST.emit(&[
-                ("failed", &reach.failed()),
-                ("status", &format_args!("{:?}", reach.status(now))),
-            ]);
+    }
+
+    /// Records that a server has not answered in time.
+    pub fn on_silence(self: &Rc<Shared>, server: &Name) {
+        if self.state.borrow_mut().reach.on_silence(server, self.now()) {
+            tokio::task::spawn_local(check(self.clone()));
         }
-        self.refresh_ready();
-        tokio::task::spawn_local(regain(self.clone()));
     }
 
     /// Records the servers with overdue requests, and updates the readiness.
     pub fn check_reach(self: &Rc<Shared>, now: Time) {
         let stalled: Vec<_> = self.state.borrow().balancer.stalled(now).cloned().collect();
-        stalled.iter().for_each(|it| self.on_unreached(it));
+        stalled.iter().for_each(|it| self.on_silence(it));
         self.refresh_ready();
     }
 
@@ -57,22 +55,59 @@
     pub fn is_stranded(&self) -> bool {
         self.state.borrow().reach.status(self.now()) == Status::Stranded
     }
+
+    /// Returns whether a server answers a health check over a new connection.
+    async fn is_answered_by(&self, server: &Entry) -> bool {
+        let Some(plan) = self.plan() else { return false };
+        let health = ask_health(&self.pool, self.clock, server, &plan, &self.headers.server_id);
+        matches!(tokio::time::timeout(CHECK_TIMEOUT, health).await, Ok(Ok(_)))
+    }
+
+    /// Returns servers at random, first those that have not failed lately.
+    fn servers_to_check(&self, count: usize) -> Vec<Arc<Entry>> {
+        let state = self.state.borrow();
+        let servers = || state.balancer.directory().entries().cloned();
+        let sound = servers().filter(|it| !state.reach.has_failed(&it.id));
+        let mut chosen = sound.sample(&mut rand::rng(), count);
+        let failed = servers().filter(|it| state.reach.has_failed(&it.id));
+        chosen.extend(failed.sample(&mut rand::rng(), count - chosen.len()));
+        chosen
+    }
 }
 
-/// Asks one server after the other for its health until one answers.
-async fn regain(shared: Rc<Shared>) {
+/// Checks some servers at once. If none answers, this node has lost the servers; then checks one after
+/// the other until they answer again.
+async fn check(shared: Rc<Shared>) {
+    let servers = shared.servers_to_check(CHECKED_SERVERS);
+    let answers = join_all(servers.iter().map(|it| shared.is_answered_by(it))).await;
+    let answers = answers.into_iter().filter(|it| *it).count();
+    let now = shared.now();
+    if !shared.state.borrow_mut().reach.on_checks(answers, now) {
+        return;
+    }
+    shared.metrics.has_lost_servers.set(1);
+    {
+        let reach = &shared.state.borrow().reach;
+        events::SERVERS_LOST.emit(&[
+            ("failed", &reach.failed()),
+            ("status", &format_args!("{:?}", reach.status(now))),
+        ]);
+    }
+    shared.refresh_ready();
     while shared.has_lost_servers() {
-        let server = {
-            let state = shared.state.borrow();
-            state.balancer.directory().entries().choose(&mut rand::rng()).cloned()
+        let server = shared.servers_to_check(1).pop();
+        let is_answered = match server {
+            Some(server) => shared.is_answered_by(&server).await,
+            None => false,
         };
-        if let (Some(server), Some(plan)) = (server, shared.plan()) {
-            let Shared { pool, clock, headers, .. } = &*shared;
-            let health = ask_health(pool, *clock, &server, &plan, &headers.server_id);
-            if let Ok(Ok(_)) = tokio::time::timeout(PROBE_TIMEOUT, health).await {
-                shared.on_reached();
-            }
+        let lost = shared.state.borrow_mut().reach.on_check(is_answered, shared.now());
+        if let Some(lost) = lost {
+            shared.state.borrow_mut().balancer.on_regained();
+            shared.metrics.has_lost_servers.set(0);
+            events::SERVERS_REGAINED.emit(&[("lost_millis", &lost.as_millis())]);
+            shared.refresh_ready();
         }
-        tokio::time::sleep(PROBE_INTERVAL).await;
+        let pause = if is_answered { RECOVERY_INTERVAL } else { RETRY_INTERVAL };
+        tokio::time::sleep(pause).await;
     }
 }
