Count a node as reaching servers only once one has answered it

Cause: a node counted its start as the last answer of a server, and told it to the other. Change: nothing is told before the first answer. lost_servers::never_answered failed before (the start was returned).

scripts/test passes.

--- a/crates/core/src/reach/reach.rs
+++ b/crates/core/src/reach/reach.rs
@@ -35,7 +35,9 @@
 /// shows a cut only if other nodes reach them: else the servers are down.
 #[derive(Clone, Debug, Default)]
 pub struct Reach {
-    answered: Time,
+    started: Time,
+    /// When a server last answered.
+    answered: Option<Time>,
     /// When servers failed.
     failures: HashMap<Name, Time>,
     is_checking: bool,
@@ -63,12 +65,12 @@
 impl Reach {
     /// Creates the reach of a node that has sent no request.
     pub fn new(now: Time) -> Reach {
-        Reach { answered: now, ..Reach::default() }
+        Reach { started: now, ..Reach::default() }
     }
 
     /// Records an answer of a server.
     pub fn on_answer(&mut self, now: Time) {
-        self.answered = now;
+        self.answered = Some(now);
     }
 
     /// Records that a connection to a server broke or did not open. Returns whether others must be
@@ -88,7 +90,7 @@
     /// Records that a server has not answered in time, which shows something only if no other has
     /// answered either: the server may be slow. Returns whether others must be checked.
     pub fn on_silence(&mut self, server: &Name, now: Time) -> bool {
-        now.since(self.answered) >= MIN_SILENCE && self.on_failure(server, now)
+        self.silence(now) >= MIN_SILENCE && self.on_failure(server, now)
     }
 
     /// Returns whether a server has lately failed.
@@ -131,13 +133,18 @@
 
     /// Returns when a server last answered, unless this node has lost them.
     pub fn answered(&self) -> Option<Time> {
-        self.lost_since.is_none().then_some(self.answered)
+        self.answered.filter(|_| self.lost_since.is_none())
+    }
+
+    /// Returns whether this node has lost the servers.
+    pub fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
     }
 
     /// Returns whether what this node observes of servers shows something about them, not about the
     /// network between.
     pub fn is_witness(&self, now: Time) -> bool {
-        let is_silent = now.since(self.answered) >= MAX_REPORT_SILENCE;
+        let is_silent = self.silence(now) >= MAX_REPORT_SILENCE;
         self.status(now) != Status::Stranded && !(is_silent && self.failures.len() >= MIN_SERVERS)
     }
 
@@ -169,6 +176,11 @@
         near.or_else(|| self.available(now).choose(rng))
     }
 
+    /// Returns for how long no server has answered.
+    fn silence(&self, now: Time) -> Duration {
+        now.since(self.answered.unwrap_or(self.started))
+    }
+
     fn available(&self, now: Time) -> impl Iterator<Item = &Helper> {
         let is_avoided = move |it: &Helper| self.avoided.get(&it.name).is_some_and(|it| *it > now);
         self.helpers.iter().filter(move |it| !is_avoided(it))
--- a/crates/core/tests/direct/lost_servers.rs
+++ b/crates/core/tests/direct/lost_servers.rs
@@ -43,9 +43,9 @@
     assert!(!fail(&mut reach, 2, 100));
     assert!(fail(&mut reach, 3, 110));
     assert!(!fail(&mut reach, 9, 120), "the check is under way");
-    assert!(reach.answered().is_some(), "not before the check has ended");
+    assert_eq!(reach.answered(), Some(at(100)), "not before the check has ended");
     assert!(reach.on_checks(0, at(200)));
-    assert!(reach.answered().is_none());
+    assert!(reach.is_lost() && reach.answered().is_none());
     assert!(!fail(&mut reach, 9, 210));
 }
 
@@ -84,7 +84,7 @@
     let mut reach = Reach::new(at(0));
     lose(&mut reach, 500);
     reach.on_answer(at(700));
-    assert!(reach.answered().is_none());
+    assert!(reach.is_lost());
     assert_eq!(reach.on_check(true, at(800)), None);
     assert_eq!(reach.on_check(false, at(810)), None);
     assert_eq!(reach.on_check(true, at(820)), None);
@@ -93,6 +93,15 @@
     assert_eq!(reach.on_check(true, at(950)), None, "told once");
 }
 
+/// A node that starts while the servers are down does not count as reaching them.
+#[test]
+fn never_answered() {
+    let mut reach = Reach::new(at(0));
+    assert_eq!(reach.answered(), None);
+    reach.on_answer(at(100));
+    assert_eq!(reach.answered(), Some(at(100)));
+}
+
 /// No server answers any node.
 #[test]
 fn servers_down() {
--- a/crates/direct/src/node/reach.rs
+++ b/crates/direct/src/node/reach.rs
@@ -48,7 +48,7 @@
 
     /// Returns whether this node has lost the servers.
     pub fn has_lost_servers(&self) -> bool {
-        self.state.borrow().reach.answered().is_none()
+        self.state.borrow().reach.is_lost()
     }
 
     /// Returns whether this node has lost the servers while others reach them.
