Never call a relayed request not run that another node may have run

Found by reading the diff: if the first node broke off an idempotent request, the next one's refusal was passed on as it came, and without another node the request was served here and could be refused: 503 would not have been true.

Cause: each end was decided alone. Change: reach::Relay keeps whether the request may have run and decides the next step, without I/O. relayed_requests fails without that (the loop before had no such state).

--- a/crates/core/src/reach/mod.rs
+++ b/crates/core/src/reach/mod.rs
@@ -6,8 +6,10 @@
 mod helper;
 #[allow(clippy::module_inception)]
 mod reach;
+mod relay;
 
 pub use self::{
     helper::Helper,
     reach::{Reach, Status},
+    relay::{Ending, Relay, Step},
 };
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -18,6 +18,7 @@
 mod merged_records;
 mod mirror_updates;
 mod planned_stop;
+mod relayed_requests;
 mod restored_fleet;
 mod restored_store;
 mod rule_lookup;
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use mimosabridge::{
     plan::{Repeat, Rule},
-    reach::Helper,
-    scatter::Failure,
+    reach::{Ending, Helper, Relay, Step},
     time::Time,
 };
 
@@ -22,9 +21,6 @@
 /// Marks the answer of a node that did not serve a relayed request, which has not run.
 pub const NOT_SERVED: HeaderName = HeaderName::from_static("x-mimosabridge-not-served");
 
-/// The most nodes that are asked to serve one request.
-const MAX_HELPERS: usize = 3;
-
 /// One in this many successes is logged.
 const LOG_ONE_IN: u64 = 64;
 
@@ -36,35 +32,47 @@
     outgoing: &Outgoing,
     deadline: Time,
 ) -> Option<Answer> {
-    for _ in 0..MAX_HELPERS {
+    let mut relay = Relay::new(outgoing.repeat);
+    loop {
         let now = shared.now();
-        let helper = shared.state.borrow().reach.helper(&mut rand::rng(), now).cloned()?;
         let left = now.until(deadline);
-        if left.is_zero() {
-            return None;
-        }
-        let sent = tokio::time::timeout(left, send(shared, &helper, outgoing, left)).await;
-        let (outcome, answer) = match sent {
-            Ok(Ok(answer)) if answer.headers().contains_key(&NOT_SERVED) => ("not served", None),
-            Ok(Ok(answer)) => ("answered", Some(respond::relayed(answer))),
-            Ok(Err(LinkError::Exchange { source })) if !source.is_canceled() => {
-                // The node may have served it.
-                let may_repeat = outgoing.repeat == Repeat::Idempotent;
-                ("broken", (!may_repeat).then(|| respond::failed(Failure::Broken)))
+        let helper = shared.state.borrow().reach.helper(&mut rand::rng(), now).cloned();
+        let (answer, step) = match helper.filter(|_| !left.is_zero()) {
+            None => (None, relay.give_up()),
+            Some(helper) => {
+                let sent = tokio::time::timeout(left, send(shared, &helper, outgoing, left)).await;
+                let (ending, answer) = classify(sent.ok());
+                record(shared, rule, outgoing, &helper, ending, answer.as_ref(), now);
+                if !matches!(ending, Ending::Answered | Ending::Refused) {
+                    shared.state.borrow_mut().reach.on_refusal(&helper.name, shared.now());
+                }
+                (answer, relay.on_end(ending))
             }
-            Ok(Err(LinkError::TooLong)) => ("too long", Some(respond::failed(Failure::Broken))),
-            Ok(Err(_)) => ("unreachable", None),
-            Err(_) => ("silent", Some(respond::failed(Failure::TimedOut))),
         };
-        record(shared, rule, outgoing, &helper, outcome, answer.as_ref(), now);
-        if outcome != "answered" {
-            shared.state.borrow_mut().reach.on_refusal(&helper.name, shared.now());
+        match step {
+            Step::Another => {}
+            Step::Pass => return answer.map(respond::relayed),
+            Step::Fail(failure) => return Some(respond::failed(failure)),
+            Step::Keep => return None,
         }
-        if answer.is_some() {
-            return answer;
+    }
+}
+
+/// Classifies the end of a request at another node, which is nothing if it took too long.
+fn classify(sent: Option<Result<Response<Bytes>, LinkError>>) -> (Ending, Option<Response<Bytes>>) {
+    match sent {
+        None => (Ending::Silent, None),
+        Some(Ok(answer)) if answer.headers().contains_key(&NOT_SERVED) => (Ending::NotServed, None),
+        Some(Ok(answer)) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
+            (Ending::Refused, Some(answer))
         }
+        Some(Ok(answer)) => (Ending::Answered, Some(answer)),
+        Some(Err(LinkError::Exchange { source })) if !source.is_canceled() => {
+            (Ending::Broken, None)
+        }
+        Some(Err(LinkError::TooLong)) => (Ending::Broken, None),
+        Some(Err(_)) => (Ending::NotServed, None),
     }
-    None
 }
 
 async fn send(
@@ -98,10 +106,11 @@
     rule: &Rule,
     outgoing: &Outgoing,
     helper: &Helper,
-    outcome: &str,
-    answer: Option<&Answer>,
+    ending: Ending,
+    answer: Option<&Response<Bytes>>,
     began: Time,
 ) {
+    let outcome = label(ending);
     shared.metrics.relayed.with_label_values(&[outcome]).inc();
     let status = answer.map_or(0, |it| it.status().as_u16());
     if status == 200 && !rand::random::<u64>().is_multiple_of(LOG_ONE_IN) {
@@ -116,3 +125,13 @@
         ("millis", &shared.now().since(began).as_millis()),
     ]);
 }
+
+fn label(ending: Ending) -> &'static str {
+    match ending {
+        Ending::Answered => "answered",
+        Ending::Refused => "refused",
+        Ending::NotServed => "not_served",
+        Ending::Broken => "broken",
+        Ending::Silent => "silent",
+    }
+}
