Give the test of servers that are down an address of its own

A trace of a failing run shows that another test's server listens at a port that the test had freed, and answers: one node reached a server, and the other was stranded. In two runs that pass no such port accepts. Bound and assertions are unchanged.

--- a/crates/direct/tests/node/stranded_nodes.rs
+++ b/crates/direct/tests/node/stranded_nodes.rs
@@ -48,7 +48,8 @@
             for number in 0..2 {
                 let id = format!("{service}-{number}");
                 servers.push(Server::start(&id, service, Behavior::Correct).await);
-                let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+                // No other test binds a port of this address.
+                let listener = TcpListener::bind("127.0.0.2:0").await.expect("a port is free");
                 let address = listener.local_addr().expect("a bound socket has an address");
                 dead.push(address);
                 silent.push(listener);
