--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -98,7 +98,11 @@
             self.record_crash(fingerprint, crash, now);
         }
         for (fingerprint, server) in dropped {
-            emit_dropped(fingerprint, server.as_str(), "the server answers, or this node loses most attempts");
+            emit_dropped(
+                fingerprint,
+                server.as_str(),
+                "the server answers, or this node loses most attempts",
+            );
         }
         let contents = self.state.borrow().quarantine.len();
         self.metrics.suspect_contents.set(contents as i64);
