Compare the identity of an answer before its status

Cause: backend::classify believed status 421 and the mark of rejections before it compared the identity of the answer with that of the request. A late copy of a rejection, on a connection in use again, meant "not run" for the request that ran. A second cause of the same class: a rejected request is sent again with the same identity on the connection that has just carried its rejection, so that the copy names the right request.

Change: the identity comes first; a rejection without one counts only on a connection that has carried nothing else; a connection isn't used twice in a row for one identity; connections to an address that answered 421 are closed; those of health checks are kept after a success only; nodes name the request in all answers to one another and compare it.

--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -13,10 +13,6 @@
 use super::{Link, LinkError, Pool, Reply, classify};
 use crate::{events, wire::Headers};
 
-/// The longest idle time of a connection that may carry a request that must not be sent twice: a
-/// connection that has been idle for longer may be dead or about to be closed.
-pub const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_000);
-
 /// A request as it is sent to servers, without the headers that differ between attempts.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -65,12 +61,7 @@
     outgoing: &Outgoing,
 ) -> Completion {
     let server = &attempt.server.id;
-    let max_idle = match outgoing.repeat {
-        Repeat::Idempotent => Duration::MAX,
-        Repeat::Once => ONCE_MAX_IDLE,
-    };
-    let pooled = pool.take(server, max_idle, clock.now()).await;
-    let mut link = match pooled {
+    let mut link = match pool.take(server, outgoing, clock.now()).await {
         Some(link) => link,
         None => match Link::open(attempt.server.address, clock.now()).await {
             Ok(link) => link,
@@ -88,9 +79,13 @@
     let request = build(names, attempt, outgoing, budget);
     match link.exchange(request).await {
         Ok(response) => {
-            let end = classify(response.status(), response.headers(), &outgoing.id, names);
-            if end != End::Invalid {
-                pool.keep(server, link, clock.now()).await;
+            let id = &outgoing.id;
+            let end = classify(response.status(), response.headers(), id, link.history, names);
+            match end {
+                End::Invalid => {}
+                // The connections lead to another server.
+                End::Misdirected => pool.close_all(server),
+                _ => pool.keep(server, link, Some(id), clock.now()).await,
             }
             Completion { end, reply: Some(reply(response, names)), error: None }
         }
--- a/crates/direct/src/backend/health.rs
+++ b/crates/direct/src/backend/health.rs
@@ -27,8 +27,9 @@
     },
 }
 
-/// Asks a server for its health, over a new connection, which is kept. Returns the name that it
-/// gives in its answer, if any.
+/// Asks a server for its health, over a new connection, which is kept if the answer is a success: a
+/// late copy of a rejection, which names no request, would look like that of the next one. Returns the
+/// name that the server gives in its answer, if any.
 pub async fn ask_health(
     pool: &Pool,
     clock: Clock,
@@ -41,7 +42,9 @@
     let request = request.body(Full::new(Bytes::new()))?;
     let mut link = Link::open(server.address, clock.now()).await?;
     let answer = link.exchange(request).await?;
-    pool.keep(&server.id, link, clock.now()).await;
+    if answer.status().is_success() {
+        pool.keep(&server.id, link, None, clock.now()).await;
+    }
     let id = answer.headers().get(id_header).map(HeaderValue::to_str);
     Ok(id.and_then(Result::ok).map(Name::new))
 }
--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -1,7 +1,7 @@
 use std::{future::poll_fn, io::ErrorKind, net::SocketAddr, pin::pin, task::Poll, time::Duration};
 
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -29,6 +29,19 @@
     allowance: Allowance,
     /// When the connection was last used.
     pub last_used: Time,
+    /// The identity of the last request that was sent over the connection, if it had one.
+    pub last_id: Option<HeaderValue>,
+    /// Whether the connection has carried requests.
+    pub history: History,
+}
+
+/// Whether a connection has carried requests, whose answers may be repeated late.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum History {
+    /// It has carried none.
+    New,
+    /// It has carried some.
+    Used,
 }
 
 /// The error of a connection.
@@ -84,7 +97,14 @@
         let allowance = Allowance::new(MAX_ANSWER_BYTES);
         let stream = TokioIo::new(Limited::new(stream, allowance.clone()));
         let (sender, driver) = http1::handshake(stream).await.context(ExchangeSnafu)?;
-        Ok(Link { sender, driver: Some(driver), allowance, last_used: now })
+        Ok(Link {
+            sender,
+            driver: Some(driver),
+            allowance,
+            last_used: now,
+            last_id: None,
+            history: History::New,
+        })
     }
 
     /// Sends a request and returns the answer with its complete body.
--- a/crates/direct/src/backend/mod.rs
+++ b/crates/direct/src/backend/mod.rs
@@ -3,6 +3,7 @@
 mod classify;
 mod exchange;
 mod health;
+mod identity;
 mod limited;
 mod link;
 mod pool;
@@ -10,9 +11,10 @@
 
 pub use self::{
     classify::classify,
-    exchange::{Completion, ONCE_MAX_IDLE, Outgoing, exchange},
+    exchange::{Completion, Outgoing, exchange},
     health::{HealthError, ask_health},
-    link::{Link, LinkError},
+    identity::Identity,
+    link::{History, Link, LinkError},
     pool::Pool,
     reply::Reply,
 };
--- a/crates/direct/src/backend/pool.rs
+++ b/crates/direct/src/backend/pool.rs
@@ -1,8 +1,13 @@
 use std::{cell::RefCell, collections::HashMap, time::Duration};
 
-use mimosabridge::{balance::IDLE_TIMEOUT, name::Name, time::Time};
+use http::HeaderValue;
+use mimosabridge::{balance::IDLE_TIMEOUT, name::Name, plan::Repeat, time::Time};
 
-use super::Link;
+use super::{History, Link, Outgoing};
+
+/// The longest idle time of a connection that may carry a request that must not be sent twice: a
+/// connection that has been idle for longer may be dead or about to be closed.
+const ONCE_MAX_IDLE: Duration = Duration::from_millis(1_000);
 
 /// The idle connections of this node to servers, by the identity of the server. A connection belongs
 /// to one process instance of its server.
@@ -17,26 +22,34 @@
         Pool::default()
     }
 
-    /// Takes the most recently used connection to a server, if it has been idle for at most
-    /// `max_idle`.
-    pub async fn take(&self, server: &Name, max_idle: Duration, now: Time) -> Option<Link> {
+    /// Takes the most recently used connection to a server that may carry a request. One whose last
+    /// request had the same identity is closed: a late copy of that answer would look like the answer
+    /// to this request.
+    pub async fn take(&self, server: &Name, request: &Outgoing, now: Time) -> Option<Link> {
+        let max_idle = match request.repeat {
+            Repeat::Idempotent => IDLE_TIMEOUT,
+            Repeat::Once => ONCE_MAX_IDLE.min(IDLE_TIMEOUT),
+        };
         loop {
             let mut link = self.idle.borrow_mut().get_mut(server)?.pop()?;
-            if now.since(link.last_used) > max_idle.min(IDLE_TIMEOUT) {
+            if now.since(link.last_used) > max_idle {
                 // The others have been idle even longer.
                 self.idle.borrow_mut().remove(server);
                 return None;
             }
-            if link.is_usable().await {
+            if link.last_id.as_ref() != Some(&request.id) && link.is_usable().await {
                 return Some(link);
             }
         }
     }
 
-    /// Returns a connection to the pool, if it can be reused.
-    pub async fn keep(&self, server: &Name, mut link: Link, now: Time) {
+    /// Returns a connection to the pool, if it can be reused. `id` is the identity of the request that
+    /// it has carried.
+    pub async fn keep(&self, server: &Name, mut link: Link, id: Option<&HeaderValue>, now: Time) {
         if link.is_usable().await {
             link.last_used = now;
+            link.last_id = id.cloned();
+            link.history = History::Used;
             self.idle.borrow_mut().entry(server.clone()).or_default().push(link);
         }
     }
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -17,7 +17,7 @@
     serve::Origin,
 };
 use crate::{
-    backend::{Completion, LinkError, Outgoing, Reply, exchange},
+    backend::{Completion, Identity, LinkError, Outgoing, Reply, exchange},
     events,
     metrics::label,
     node::Shared,
@@ -312,6 +312,9 @@
     ) {
         let error = error.map_or_else(String::new, ToString::to_string);
         let status = reply.map_or(0, |it| it.status.as_u16());
+        let name = &self.shared.headers.request_id;
+        let identity = reply.map(|it| Identity::new(&it.headers, name, &self.outgoing.id));
+        let identity = identity.map_or_else(String::new, |it| it.to_string());
         events::ATTEMPT.emit(&[
             ("id", &self.id),
             ("rule", &self.run.rule().name),
@@ -320,6 +323,7 @@
             ("service", &attempt.server.service),
             ("end", &label(end)),
             ("status", &status),
+            ("identity", &identity),
             ("error", &error),
             ("hedge", &attempt.is_hedge),
             ("millis", &self.shared.now().since(attempt.sent).as_millis()),
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -6,16 +6,17 @@
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use mimosabridge::{
-    plan::{Repeat, Rule},
+    plan::Rule,
     reach::{Ending, Helper, Relay, Step},
     time::Time,
 };
 
 use super::respond::{self, Answer};
 use crate::{
-    backend::{Link, LinkError, ONCE_MAX_IDLE, Outgoing},
+    backend::{Identity, Link, LinkError, Outgoing},
     events,
     node::Shared,
+    wire::Headers,
 };
 
 /// Marks the answer of a node that did not serve a relayed request, which has not run.
@@ -38,7 +39,7 @@
             None => (None, Step::Keep),
             Some(helper) => {
                 let sent = tokio::time::timeout(left, send(shared, &helper, outgoing, left)).await;
-                let (ending, answer) = classify(sent.ok());
+                let (ending, answer) = classify(sent.ok(), outgoing, &shared.headers);
                 record(shared, rule, outgoing, &helper, ending, answer.as_ref(), now);
                 if !matches!(ending, Ending::Answered | Ending::Refused) {
                     shared.state.borrow_mut().reach.on_refusal(&helper.name, shared.now());
@@ -55,10 +56,17 @@
     }
 }
 
-/// Classifies the end of a request at another node, which is nothing if it took too long.
-fn classify(sent: Option<Result<Response<Bytes>, LinkError>>) -> (Ending, Option<Response<Bytes>>) {
+/// Classifies the end of a request at another node, which is nothing if it took too long. Nodes of
+/// earlier versions name no request in the answers that they make themselves.
+fn classify(
+    sent: Option<Result<Response<Bytes>, LinkError>>,
+    outgoing: &Outgoing,
+    names: &Headers,
+) -> (Ending, Option<Response<Bytes>>) {
+    let identity = |it: &Response<_>| Identity::new(it.headers(), &names.request_id, &outgoing.id);
     match sent {
         None => (Ending::Silent, None),
+        Some(Ok(answer)) if identity(&answer) == Identity::Other => (Ending::Broken, None),
         Some(Ok(answer)) if answer.headers().contains_key(&NOT_SERVED) => (Ending::NotServed, None),
         Some(Ok(answer)) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
             (Ending::Refused, Some(answer))
@@ -78,11 +86,7 @@
     outgoing: &Outgoing,
     left: Duration,
 ) -> Result<Response<Bytes>, LinkError> {
-    let max_idle = match outgoing.repeat {
-        Repeat::Idempotent => Duration::MAX,
-        Repeat::Once => ONCE_MAX_IDLE,
-    };
-    let pooled = shared.relay_pool.take(&helper.name, max_idle, shared.now()).await;
+    let pooled = shared.relay_pool.take(&helper.name, outgoing, shared.now()).await;
     let mut link = match pooled {
         Some(link) => link,
         None => Link::open(helper.address, shared.now()).await?,
@@ -94,7 +98,10 @@
     let left = HeaderValue::from(left.as_millis().max(1) as u64);
     request.headers_mut().insert(&shared.headers.deadline, left);
     let answer = link.exchange(request).await?;
-    shared.relay_pool.keep(&helper.name, link, shared.now()).await;
+    let id = &outgoing.id;
+    if Identity::new(answer.headers(), &shared.headers.request_id, id) != Identity::Other {
+        shared.relay_pool.keep(&helper.name, link, Some(id), shared.now()).await;
+    }
     Ok(answer)
 }
 
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -41,6 +41,7 @@
     origin: Origin,
 ) -> Result<Answer, Infallible> {
     let running = Running::new(shared.clone());
+    let id = request.headers().get(&shared.headers.request_id).cloned();
     let mut answer = match answer(&shared, request, origin).await {
         Ok(answer) => answer,
         Err(mut answer) => {
@@ -50,6 +51,9 @@
             answer
         }
     };
+    if let (Origin::Node, Some(id)) = (origin, id) {
+        answer.headers_mut().insert(&shared.headers.request_id, id);
+    }
     if shared.state.borrow().stop.is_some() || origin == Origin::Caller && shared.is_stranded() {
         // Makes the caller send its next request to another node.
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/direct/tests/node/classified_answers.rs
+++ b/crates/direct/tests/node/classified_answers.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
 use mimosabridge::scatter::End;
-use mimosabridge_direct::backend::classify;
+use mimosabridge_direct::backend::{History, classify};
 use rstest::rstest;
 
 use crate::env::headers;
@@ -20,13 +20,32 @@
 #[case::no_promise_429(429, &[("x-signature", "s")], End::Invalid)]
 #[case::no_promise_408(408, &[("x-signature", "s")], End::Invalid)]
 #[case::misdirected(421, &[], End::Misdirected)]
+#[case::shed_other(503, &[("x-refused", "1"), ("x-id", "q")], End::Invalid)]
+#[case::busy_other(429, &[("x-refused", "1"), ("x-id", "q")], End::Invalid)]
+#[case::misdirected_other(421, &[("x-id", "q")], End::Invalid)]
+#[case::two_identities(503, &[("x-refused", "1"), ("x-id", "r"), ("x-id", "q")], End::Invalid)]
 fn by_head(#[case] status: u16, #[case] fields: &[(&str, &str)], #[case] expected: End) {
+    assert_eq!(classified(status, fields, History::New), expected);
+}
+
+/// Guards against a rejection that names no request and belongs to an earlier one.
+#[rstest]
+#[case::shed(503, &[("x-refused", "1")], End::Invalid)]
+#[case::misdirected(421, &[], End::Invalid)]
+#[case::own_shed(503, &[("x-refused", "1"), ("x-id", "r")], End::Shed)]
+#[case::own_misdirected(421, &[("x-id", "r")], End::Misdirected)]
+#[case::success(200, &[("x-signature", "s")], End::Served)]
+fn on_used_connection(#[case] status: u16, #[case] fields: &[(&str, &str)], #[case] expected: End) {
+    assert_eq!(classified(status, fields, History::Used), expected);
+}
+
+fn classified(status: u16, fields: &[(&str, &str)], history: History) -> End {
     let mut map = HeaderMap::new();
     for (name, value) in fields {
         let name: HeaderName = name.parse().expect("a valid name");
-        map.insert(name, HeaderValue::from_str(value).expect("a valid value"));
+        map.append(name, HeaderValue::from_str(value).expect("a valid value"));
     }
     let status = StatusCode::from_u16(status).expect("a valid status");
     let id = HeaderValue::from_static("r");
-    assert_eq!(classify(status, &map, &id, &headers()), expected);
+    classify(status, &map, &id, history, &headers())
 }
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -33,6 +33,9 @@
     Extra,
     /// It sends a second copy of each answer late: in front of the next answer on the connection.
     LateCopy,
+    /// It rejects every second request with this status line and runs the others. A second copy of
+    /// each rejection comes late: in front of the next answer on the connection.
+    LateRejection(&'static str),
     /// It never answers.
     Hang,
     /// It ends when it receives a request for a path that contains "crash", and answers others.
@@ -71,6 +74,10 @@
     pub behavior: Rc<Cell<Behavior>>,
     /// The requests that were received, each with its head and body.
     pub requests: Rc<RefCell<Vec<String>>>,
+    /// The identities of the requests that [`Behavior::LateRejection`] ran.
+    pub runs: Rc<RefCell<Vec<String>>>,
+    /// The number of late copies that were sent in front of other answers.
+    pub copies: Rc<Cell<usize>>,
     /// The number of connections that the other side closed before the answer.
     pub disconnected: Rc<Cell<usize>>,
     /// The number of bytes of endless answers that were sent.
@@ -90,6 +97,8 @@
             address: listener.local_addr().expect("a bound socket has an address"),
             behavior: Rc::new(Cell::new(behavior)),
             requests: Rc::default(),
+            runs: Rc::default(),
+            copies: Rc::default(),
             disconnected: Rc::default(),
             endless_bytes: Rc::default(),
             ended: Rc::default(),
@@ -131,6 +140,7 @@
 async fn serve(server: Server, mut stream: TcpStream) {
     let Server { id, behavior, requests, disconnected, endless_bytes, ended, end, .. } = &server;
     let mut previous_id: Option<String> = None;
+    let mut late_copy = String::new();
     while let Some(text) = read(&mut stream).await {
         if let (Behavior::End(trace), Some(_)) = (behavior.get(), ended.get()) {
             if !leave_trace(trace, &mut stream).await {
@@ -176,9 +186,7 @@
                 return std::future::pending().await;
             }
             Behavior::Correct | Behavior::Crash | Behavior::End(_) => answer(&request_id, &body),
-            Behavior::Shed => {
-                "HTTP/1.1 503 Full\r\nx-refused: 1\r\ncontent-length: 0\r\n\r\n".to_owned()
-            }
+            Behavior::Shed => rejection("503 Full", &request_id),
             Behavior::Bare503 => format!(
                 "HTTP/1.1 503 Broken\r\nx-id: {request_id}\r\nx-signature: {id}.{number}\r\n\
                  content-length: 0\r\n\r\n"
@@ -199,6 +207,19 @@
                 let copy = previous.map_or_else(String::new, |it| answer(&it, "a late copy here"));
                 copy + &answer(&request_id, &body)
             }
+            Behavior::LateRejection(status) => {
+                let copy = std::mem::take(&mut late_copy);
+                if !copy.is_empty() {
+                    server.copies.set(server.copies.get() + 1);
+                }
+                if number % 2 == 1 {
+                    late_copy = rejection(status, &request_id);
+                    copy + &late_copy
+                } else {
+                    server.runs.borrow_mut().push(request_id.clone());
+                    copy + &answer(&request_id, &body)
+                }
+            }
             Behavior::Endless(head, bytes) => {
                 if stream.write_all(head.as_bytes()).await.is_err() {
                     return;
@@ -226,6 +247,11 @@
     }
 }
 
+/// Returns the rejection of a request that has not run.
+fn rejection(status: &str, request_id: &str) -> String {
+    format!("HTTP/1.1 {status}\r\nx-refused: 1\r\nx-id: {request_id}\r\ncontent-length: 0\r\n\r\n")
+}
+
 /// Answers a request in the place of a server that has ended. Returns whether there is an answer.
 async fn leave_trace(trace: Trace, stream: &mut TcpStream) -> bool {
     let head = match trace {
--- a/crates/direct/tests/node/invalid_answers.rs
+++ b/crates/direct/tests/node/invalid_answers.rs
@@ -70,6 +70,48 @@
     });
 }
 
+/// Guards against a late copy of a rejection that is taken for the answer to a request that runs: to
+/// the next one on the connection, or to the same one that is sent again.
+#[rstest]
+fn late_rejection_believed(
+    #[values("503 Full", "429 Busy", "421 Misdirected")] status: &'static str,
+    #[values(("POST", "/one/a"), ("GET", "/many/a"))] call: (&str, &str),
+) {
+    run(async {
+        let servers = [
+            Server::start("i-1", "one", Behavior::LateRejection(status)).await,
+            Server::start("i-2", "one", Behavior::LateRejection(status)).await,
+        ];
+        let node = Node::start(&[&servers[0], &servers[1]]).await;
+        for number in 0..40 {
+            let id = format!("r{number}");
+            let text = request(call.0, call.1, &id, "");
+            let answer = ask(node.front, &text).await.expect("the node answers");
+            let runs = servers.iter().flat_map(|it| it.runs.borrow().clone());
+            let runs = runs.filter(|it| *it == id).count();
+            match answer.status {
+                200 | 502 => {}
+                503 => assert_eq!(runs, 0, "{id} ran and was refused"),
+                status => panic!("{id} got {status}"),
+            }
+            assert!(runs <= 1 || call.0 == "GET", "{id} ran {runs} times");
+        }
+    });
+}
+
+/// Shows that late copies of rejections are met at all: a request that comes after one fails.
+#[test]
+fn late_rejection_met() {
+    run(async {
+        let server = Server::start("i-1", "one", Behavior::LateRejection("503 Full")).await;
+        let node = Node::start(&[&server]).await;
+        for number in 0..20 {
+            ask(node.front, &request("POST", "/one/a", &format!("r{number}"), "")).await;
+        }
+        assert!(server.copies.get() > 0);
+    });
+}
+
 #[test]
 fn shed_request_refused() {
     run(async {
--- a/crates/direct/tests/node/stranded_nodes.rs
+++ b/crates/direct/tests/node/stranded_nodes.rs
@@ -199,3 +199,18 @@
         wait_until(|| place.servers.iter().any(|it| it.disconnected.get() > 0)).await;
     });
 }
+
+/// Guards against an answer of another node that is taken for that to another request: nodes name the
+/// request in all answers to one another, also in those that they make themselves.
+#[test]
+fn relayed_answer_unnamed() {
+    run(async {
+        let server = Server::start("i-1", "one", Behavior::Shed).await;
+        let node = Node::start(&[&server]).await;
+        for path in ["/one/x", "/all/x", "/unknown"] {
+            let answer = ask(node.peer, &request("GET", path, "r1", "")).await;
+            let answer = answer.expect("the node answers");
+            assert_eq!(answer.header("x-id").as_deref(), Some("r1"), "{path}: {}", answer.head);
+        }
+    });
+}
