Answer or refuse every request before a planned stop ends

Cause: the process ended at 0.94 of the grace time whatever ran. That moment bounded neither which requests were taken, nor the time that servers were given, nor when callers got their final answer.

Ruled out: a request cut while its answer was sent, with real processes on loopback (900 KB arrived whole before and after); the decision that allowed it is mended all the same.

Change: a stopping node refuses a request at once, as not run, unless the longest recent latency of its rule is left, twice that if it may run once only. All requests, also relayed ones and those whose body still comes, get their final answer at 0.9 of the grace time. The process ends once its connections are closed, at 0.94 at the latest.

The tests of phases keep their expectations and pass the load as a struct.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -281,6 +281,11 @@
         self.baseline(rule).usual_latency()
     }
 
+    /// Returns the longest latency of the requests of a rule lately, or zero without samples.
+    pub fn longest_latency(&mut self, rule: &Rule) -> Duration {
+        self.baseline(rule).longest_latency()
+    }
+
     /// Returns the state of a server, or `None` if it is unknown.
     pub fn server(&self, id: &Name) -> Option<&Server> {
         self.servers.get(id)
--- a/crates/core/src/balance/baseline.rs
+++ b/crates/core/src/balance/baseline.rs
@@ -60,6 +60,11 @@
         self.usual
     }
 
+    /// Returns the longest latency lately.
+    pub fn longest_latency(&self) -> Duration {
+        self.latency.longest()
+    }
+
     /// Returns how long to wait for an answer before a hedge is sent to another server.
     pub fn hedge_delay(&self) -> Duration {
         let latest = self.objective / HEDGE_DIVISOR;
--- a/crates/core/src/retry/latency.rs
+++ b/crates/core/src/retry/latency.rs
@@ -38,6 +38,11 @@
         self.current.saturating_record(latency.as_micros() as u64);
     }
 
+    /// Returns the longest latency of the current and the previous window, or zero without samples.
+    pub fn longest(&self) -> Duration {
+        Duration::from_micros(self.current.max().max(self.previous.max()))
+    }
+
     /// Returns a quantile between 0 and 1, or `None` while there are too few samples.
     pub fn quantile(&self, quantile: f64) -> Option<Duration> {
         let (fuller, other) = if self.current.len() >= MIN_SAMPLES {
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -210,6 +210,15 @@
         self.step(context)
     }
 
+    /// Finishes the run with the answers that have arrived: the final answer is due now.
+    pub fn cut_short(&mut self, context: &mut Context<'_>) -> Vec<Action> {
+        if self.is_finished {
+            return Vec::new();
+        }
+        self.timing.end_at(context.now);
+        self.step(context)
+    }
+
     /// Returns when [`Run::on_timer`] is due.
     pub fn next_timer(&self, now: Time) -> Time {
         let mut next = if now < self.timing.soft_deadline {
--- a/crates/core/src/scatter/timing.rs
+++ b/crates/core/src/scatter/timing.rs
@@ -48,6 +48,12 @@
         }
     }
 
+    /// Moves the deadlines to a time at the latest.
+    pub fn end_at(&mut self, end: Time) {
+        self.soft_deadline = self.soft_deadline.min(end);
+        self.hard_deadline = self.hard_deadline.min(end);
+    }
+
     /// Returns until when the answer to a hedge is expected before the soft deadline.
     pub fn last_hedge(&self, usual: Duration) -> Time {
         self.soft_deadline.before(usual.mul_f64(HEDGE_TIME_FACTOR) + HEDGE_CONNECT_TIME)
--- a/crates/core/src/stop/mod.rs
+++ b/crates/core/src/stop/mod.rs
@@ -1,7 +1,9 @@
-//! Planned stops: when a stopping node closes its connections and when its process ends.
+//! Planned stops: which requests a stopping node takes, when it closes its connections and when its
+//! process ends.
 
+mod load;
 mod phase;
 #[allow(clippy::module_inception)]
 mod stop;
 
-pub use self::{phase::Phase, stop::Stop};
+pub use self::{load::Load, phase::Phase, stop::Stop};
--- a/crates/core/tests/direct/run_steps.rs
+++ b/crates/core/tests/direct/run_steps.rs
@@ -229,3 +229,23 @@
     assert!(first[0].budget <= CALLER_TIMEOUT, "at most the time that the caller allows");
     assert!(first[0].budget > CALLER_TIMEOUT - Duration::from_millis(100));
 }
+
+/// Guards against a stopping node that ends without the answers to requests under way.
+#[test]
+fn cut_short_unanswered() {
+    let mut node = single(once());
+    let (mut run, attempts) = start(&mut node, "once");
+    assert_eq!(attempts.len(), 1);
+    let actions = run.cut_short(&mut node.context(at(5)));
+    assert_eq!(verdict(&actions), Some(Verdict::Fail(Failure::TimedOut)), "it may have run");
+
+    let mut node = sharded(4, 0.75);
+    let (mut run, attempts) = start(&mut node, "all");
+    for attempt in &attempts[..3] {
+        run.on_end(attempt.number, End::Served, &mut node.context(at(3)));
+    }
+    let actions = run.cut_short(&mut node.context(at(5)));
+    let expected = Verdict::Merge { attempts: vec![0, 1, 2], missing: 1 };
+    assert_eq!(verdict(&actions), Some(expected), "enough shards have answered");
+    assert_eq!(run.cut_short(&mut node.context(at(6))), [], "there is one final answer");
+}
--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -52,6 +52,7 @@
     mut phase: watch::Receiver<Option<Phase>>,
     origin: Origin,
 ) {
+    let _open = Open::new(shared.clone());
     let limits = shared.plan().map_or_else(Limits::default, |it| *it.limits());
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
@@ -68,6 +69,8 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
+        // Requests that have already arrived are read before an idle connection is closed.
+        biased;
         // An error of the connection matters only to the caller.
         _ = connection.as_mut() => return,
         _ = phase.wait_for(|it| *it >= Some(Phase::Closing)) => {}
@@ -75,3 +78,21 @@
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
+
+/// Counts a connection as open until dropped.
+struct Open {
+    shared: Rc<Shared>,
+}
+
+impl Open {
+    fn new(shared: Rc<Shared>) -> Open {
+        shared.state.borrow_mut().load.connections += 1;
+        Open { shared }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.shared.state.borrow_mut().load.connections -= 1;
+    }
+}
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -57,7 +57,10 @@
     origin: Origin,
 ) -> Answer {
     let started_at = shared.now();
-    let deadline = started_at + query.caller_timeout.min(query.rule.timeout);
+    let stops = shared.state.borrow().stop.map(|it| it.answers_due());
+    let caller_timeout =
+        stops.map_or(query.caller_timeout, |it| query.caller_timeout.min(started_at.until(it)));
+    let deadline = started_at + caller_timeout.min(query.rule.timeout);
     if origin == Origin::Caller
         && let Some(answer) = relay(&shared, &query.rule, &query.outgoing, deadline).await
     {
@@ -67,7 +70,7 @@
     let run = {
         let balancer = &mut shared.state.borrow_mut().balancer;
         let now = shared.now();
-        let caller_timeout = query.caller_timeout.saturating_sub(now.since(started_at));
+        let caller_timeout = caller_timeout.saturating_sub(now.since(started_at));
         let mut context = Context { balancer, plan: &plan, now };
         let run = Run::new(query.rule, caller_timeout, &mut context);
         if is_suspect { run.with_canary() } else { run }
@@ -100,6 +103,8 @@
 
 impl Execution {
     async fn execute(&mut self) -> Verdict {
+        let shared = self.shared.clone();
+        let mut answers_due = std::pin::pin!(shared.answers_due());
         let mut actions = self.decide(|run, context| run.start(context));
         loop {
             if let Some(verdict) = self.act(actions) {
@@ -111,6 +116,7 @@
                 () = tokio::time::sleep_until(next) => {
                     self.decide(|run, context| run.on_timer(context))
                 }
+                () = &mut answers_due => self.decide(|run, context| run.cut_short(context)),
             };
         }
     }
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -38,8 +38,12 @@
         let (answer, step) = match helper.filter(|_| !left.is_zero()) {
             None => (None, Step::Keep),
             Some(helper) => {
-                let sent = tokio::time::timeout(left, send(shared, &helper, outgoing, left)).await;
-                let (ending, answer) = classify(sent.ok(), outgoing, &shared.headers);
+                let work = send(shared, &helper, outgoing, left);
+                let sent = tokio::select! {
+                    sent = tokio::time::timeout(left, work) => sent.ok(),
+                    () = shared.answers_due() => None,
+                };
+                let (ending, answer) = classify(sent, outgoing, &shared.headers);
                 record(shared, rule, outgoing, &helper, ending, answer.as_ref(), now);
                 if !matches!(ending, Ending::Answered | Ending::Refused) {
                     shared.state.borrow_mut().reach.on_refusal(&helper.name, shared.now());
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -6,7 +6,7 @@
 
 use super::{
     drive::drive,
-    incoming::{self, Rejection},
+    incoming::{self, Query, Rejection},
     relay::NOT_SERVED,
     respond::{self, Answer},
 };
@@ -25,6 +25,9 @@
 /// The `Retry-After` time of a content that crashes servers, as long as crashes are remembered.
 const QUARANTINED_RETRY: Duration = Duration::from_secs(300);
 
+/// Why a request is refused that a stopping node could not answer in time.
+const STOPPING: &str = "this node is about to stop";
+
 /// Who sends a request to this node.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Origin {
@@ -79,7 +82,13 @@
         Ok(rule) => rule,
         Err(rejection) => return Err(reject(&id, plan.version(), None, rejection)),
     };
-    let query = incoming::read(head, body, rule.clone(), &plan, &shared.headers).await;
+    let query = tokio::select! {
+        query = incoming::read(head, body, rule.clone(), &plan, &shared.headers) => query,
+        () = shared.answers_due() => {
+            events::REFUSED.emit(&[("id", &id), ("rule", &rule.name), ("reason", &STOPPING)]);
+            return Err(respond::refused(Duration::ZERO, STOPPING));
+        }
+    };
     let query = match query {
         Ok(query) => query,
         Err(rejection) => return Err(reject(&id, plan.version(), Some(&rule), rejection)),
@@ -94,6 +103,10 @@
             ("reason", &reason),
         ]);
     };
+    if let Some(retry_after) = stop_refusal(shared, &query) {
+        log_refused(STOPPING);
+        return Err(respond::refused(retry_after, STOPPING));
+    }
     if shared.state.borrow().quarantine.is_quarantined(query.fingerprint, now) {
         shared.metrics.quarantine_refusals.inc();
         log_refused("the content crashes servers");
@@ -111,6 +124,16 @@
     Ok(drive(shared.clone(), plan, query, id, origin).await)
 }
 
+/// Returns how long the caller should wait, if this node stops before it could answer a request.
+fn stop_refusal(shared: &Shared, query: &Query) -> Option<Duration> {
+    let now = shared.now();
+    let state = &mut *shared.state.borrow_mut();
+    let stop = state.stop?;
+    let longest = state.balancer.longest_latency(&query.rule);
+    let is_admitted = stop.admits(&query.rule, longest, query.caller_timeout, now);
+    (!is_admitted).then(|| stop.retry_after(now))
+}
+
 fn reject(id: &str, version: u64, rule: Option<&Rule>, (status, text): Rejection) -> Answer {
     events::REJECTED.emit(&[
         ("id", &id),
@@ -136,7 +159,7 @@
     fn new(shared: Rc<Shared>) -> Running {
         let now = shared.now();
         let mut state = shared.state.borrow_mut();
-        state.running += 1;
+        state.load.requests += 1;
         if let Some(stop) = &mut state.stop {
             stop.on_request(now);
         }
@@ -148,7 +171,7 @@
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.shared.state.borrow_mut().running -= 1;
+        self.shared.state.borrow_mut().load.requests -= 1;
         self.shared.metrics.under_way.dec();
     }
 }
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -2,7 +2,7 @@
 
 use mimosabridge::{
     member::{Incarnation, Record, Roles, State},
-    stop::{Phase, Stop},
+    stop::{Load, Phase},
 };
 use mimosabridge_node::timer;
 use snafu::{ResultExt, Snafu};
@@ -104,15 +104,13 @@
         }
     }
 
-    let stop = Stop::new(settings.grace, shared.now());
-    shared.state.borrow_mut().stop = Some(stop);
-    shared.refresh_ready();
-    events::STOPPING.emit(&[("running", &shared.state.borrow().running)]);
+    shared.begin_stop(settings.grace);
+    events::STOPPING.emit(&[("running", &shared.state.borrow().load.requests)]);
     let mut ticks = timer.every(STOP_TICK_INTERVAL);
     while let Some(tick) = ticks.recv().await {
         let phase = {
-            let state = shared.state.borrow();
-            state.stop.as_ref().map(|it| it.phase(state.running, tick.now))
+            let state = &mut *shared.state.borrow_mut();
+            state.stop.as_mut().map(|it| it.phase(state.load, tick.now))
         };
         phases.send_if_modified(|it| {
             let is_new = *it != phase;
@@ -124,7 +122,8 @@
         }
     }
     exchange.leave();
-    events::STOPPED.emit(&[("running", &shared.state.borrow().running)]);
+    let Load { requests, connections } = shared.state.borrow().load;
+    events::STOPPED.emit(&[("running", &requests), ("connections", &connections)]);
     Ok(())
 }
 
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -16,11 +16,11 @@
     plan::Plan,
     quarantine::{Detector, List, Sign},
     reach::{Reach, Status},
-    stop::Stop,
+    stop::{Load, Stop},
     time::Time,
 };
 use mimosabridge_node::clock::Clock;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::{backend::Pool, events, metrics::Metrics, wire::Headers};
 
@@ -47,6 +47,8 @@
     pub resumed: Notify,
     /// Notified when other nodes must learn of a content at once.
     pub urgent_news: Notify,
+    /// When the final answers to all requests are due, once a planned stop has begun.
+    answers_due: watch::Sender<Option<Time>>,
 }
 
 /// What a node knows of the fleet, and its requests in progress.
@@ -65,8 +67,8 @@
     pub unpushed_contents: BTreeSet<Fingerprint>,
     /// The planned stop, once it has begun.
     pub stop: Option<Stop>,
-    /// The number of requests in progress.
-    pub running: usize,
+    /// The requests in progress and the open connections of those who send them.
+    pub load: Load,
 }
 
 impl State {
@@ -94,12 +96,13 @@
                 crash_detector: Detector::new(),
                 unpushed_contents: BTreeSet::new(),
                 stop: None,
-                running: 0,
+                load: Load::default(),
             }),
             metrics: Metrics::new(),
             is_ready: Arc::new(AtomicBool::new(false)),
             resumed: Notify::new(),
             urgent_news: Notify::new(),
+            answers_due: watch::Sender::new(None),
         }
     }
 
@@ -113,6 +116,25 @@
         self.state.borrow().mirror.plan().cloned()
     }
 
+    /// Begins a planned stop. The process is killed `grace` later.
+    pub fn begin_stop(&self, grace: Duration) {
+        let stop = Stop::new(grace, self.now());
+        self.state.borrow_mut().stop = Some(stop);
+        self.answers_due.send_replace(Some(stop.answers_due()));
+        self.refresh_ready();
+    }
+
+    /// Waits until the final answers to all requests are due, in a planned stop.
+    pub async fn answers_due(&self) {
+        let mut due = self.answers_due.subscribe();
+        let due = due.wait_for(Option::is_some).await.ok().and_then(|it| *it);
+        match due {
+            Some(due) => tokio::time::sleep_until(self.clock.instant(due)).await,
+            // The sender lives as long as the node.
+            None => std::future::pending().await,
+        }
+    }
+
     /// Updates whether callers should be sent to this node.
     pub fn refresh_ready(&self) {
         let state = self.state.borrow();
