--- a/crates/core/src/directory/entry.rs
+++ b/crates/core/src/directory/entry.rs
@@ -4,6 +4,9 @@
 
 use crate::name::Name;
 
+/// The longest time for which a server may say that it stays cold.
+const MAX_COLD: Duration = Duration::from_secs(3_600);
+
 /// What a backend server publishes about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
@@ -25,3 +28,20 @@
     /// from its predecessor.
     pub born: u64,
 }
+
+impl Entry {
+    /// Returns why no request can be sent to the server that this entry names, or `None` if one can.
+    pub fn finding(&self) -> Option<String> {
+        let Entry { id, address, cold, .. } = self;
+        let ip = address.ip();
+        if id.as_str().is_empty() || !id.as_str().bytes().all(|it| it.is_ascii_graphic()) {
+            Some(format!("the id {id:?} must consist of visible ASCII characters"))
+        } else if address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            Some(format!("no server can be reached at {address}"))
+        } else if *cold > MAX_COLD {
+            Some(format!("the server says that it stays cold for {cold:?}; at most {MAX_COLD:?}"))
+        } else {
+            None
+        }
+    }
+}
