Show that an answer cut after any byte is never taken for whole

Five kinds of answers (with a length, with chunks, a failure, a rejection, 421) and a head without a length were cut after each byte; each cut ends as broken or invalid.

Ruled out: the same on relays between nodes, which use the same client.

--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -5,6 +5,7 @@
 mod caller_disconnects;
 mod classified_answers;
 mod crashing_contents;
+mod cut_answers;
 mod endless_answers;
 mod followed_reader;
 mod invalid_answers;
