Send nothing to a server long after it has said that it leaves

Change: the word holds for one process of a server (id, service, address, start), beside what the store says of its entry. Others serve first; a leaving server serves what no other can until 0.9 of the drain time, then nothing: not first sends, retries, hedges or requests that waited. Only an answer to the request itself counts, or a health check that names the server; other values are logged and ignored. Nodes name leaving servers in the answers that they relay for one another. A leaving server that ends is no evidence against a content.

Ruled out: keeping the word in the directory, where an older list, the return of a lapsed entry or another era would undo it.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -9,6 +9,7 @@
 use super::{
     Baseline, Observation, Purpose, Sample, Server, Settings,
     cost::{admits, cost},
+    notices::Notices,
 };
 use crate::{
     directory::{Change, Directory, Entry},
@@ -35,7 +36,7 @@
 /// Chooses a server for each request, and keeps the observations on which the choice depends.
 #[derive(Clone, Debug)]
 pub struct Balancer {
-    settings: Settings,
+    pub(super) settings: Settings,
     pub(super) nodes: u32,
     pub(super) directory: Directory,
     pub(super) servers: HashMap<Name, Server>,
@@ -49,6 +50,8 @@
     pub(super) closed: HashSet<Name>,
     /// Servers that must get no requests although their entries allow it, with their start.
     pub(super) retired: HashMap<Name, u64>,
+    /// What servers have said of themselves in their answers.
+    pub(super) notices: Notices,
     /// The servers whose limits have ended, as this node observed, since the last report.
     pub(super) unlimited: Vec<u32>,
     pub(super) rng: SmallRng,
@@ -69,6 +72,7 @@
             waiting: HashMap::new(),
             closed: HashSet::new(),
             retired: HashMap::new(),
+            notices: Notices::default(),
             unlimited: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -105,6 +109,7 @@
             Change::Removed(id) => {
                 self.servers.remove(id);
                 self.keys.remove(&id.key());
+                self.notices.on_removed(id);
             }
             Change::Draining(_) | Change::Lapsed(_) | Change::Returned(_) => {}
         }
@@ -134,8 +139,8 @@
         self.window(service).on_request(now);
     }
 
-    /// Chooses the server of the least cost for a request, but none of `tried`. Returns `None` if
-    /// no server may get it.
+    /// Chooses the server of the least cost for a request, but none of `tried`, and a leaving one
+    /// only if no other may get it. Returns `None` if no server may get it.
     pub fn pick(
         &mut self,
         service: &Name,
@@ -148,9 +153,10 @@
         let usual = self.usual_latency(rule);
         let max = self.max_connections(service, plan);
         let cold_share = plan.service(service).and_then(|it| self.cold_share(it.cold_rate));
-        let mut best: Option<(f64, Arc<Entry>)> = None;
-        let entries: Vec<_> = self.candidates(service).cloned().collect();
+        let mut best: Option<((bool, f64), Arc<Entry>)> = None;
+        let entries: Vec<_> = self.candidates(service, now).cloned().collect();
         for entry in entries {
+            let is_leaving = self.is_leaving(&entry);
             if tried.contains(&entry.id) {
                 continue;
             }
@@ -166,8 +172,9 @@
             let is_near = entry.data_centre == self.settings.data_centre;
             let jitter = 1.0 + JITTER * self.rng.random::<f64>();
             let cost = cost(server, usual, is_near, is_cold, now) * jitter;
-            if best.as_ref().is_none_or(|it| cost < it.0) {
-                best = Some((cost, entry));
+            let rank = (is_leaving, cost);
+            if best.as_ref().is_none_or(|it| rank < it.0) {
+                best = Some((rank, entry));
             }
         }
         best.map(|it| it.1)
@@ -291,8 +298,14 @@
         self.servers.get(id)
     }
 
-    pub(super) fn candidates(&self, service: &Name) -> impl Iterator<Item = &Arc<Entry>> {
-        self.directory.by_service(service).filter(|it| self.may_receive(it))
+    /// Returns the servers of a service that may get requests now.
+    pub(super) fn candidates(
+        &self,
+        service: &Name,
+        now: Time,
+    ) -> impl Iterator<Item = &Arc<Entry>> {
+        let servers = self.directory.by_service(service);
+        servers.filter(move |it| self.may_receive(it) && !self.has_left(it, now))
     }
 
     /// Returns how many connections this node may have to one server of a service.
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -3,7 +3,7 @@
 //! Handles servers of different speed, servers that pause or turn slow, servers that reject or fail
 //! part of their requests, servers that are down or silent, and cold servers that can take only a
 //! few requests from all nodes together. A server that states a limit gets no more from all
-//! nodes together than it takes.
+//! nodes together than it takes, and one that says that it leaves gets what no other can take.
 
 mod aggregate;
 mod balancer;
@@ -11,8 +11,10 @@
 mod cost;
 mod estimate;
 mod forbidden;
+mod leaving;
 mod limits;
 mod meter;
+mod notices;
 mod purpose;
 mod quota;
 mod server;
--- a/crates/core/src/balance/settings.rs
+++ b/crates/core/src/balance/settings.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use crate::name::Name;
 
 /// The default number of nodes that a node assumes until it knows the others. It is more than a
@@ -17,6 +19,8 @@
     pub cold_factor: f64,
     /// The requests per second that a cold server may get on top of that rate.
     pub cold_slack: f64,
+    /// How long after the word that a server leaves it may still get requests.
+    pub drain_time: Duration,
     /// The number of nodes that is assumed until the others are known.
     pub assumed_nodes: u32,
 }
--- a/crates/core/src/balance/wait.rs
+++ b/crates/core/src/balance/wait.rs
@@ -29,7 +29,7 @@
         let unknown = Server::new();
         let (mut free, mut connections) = (0, 0);
         let (mut at_once, mut later): (Option<Estimate>, Option<Estimate>) = (None, None);
-        for entry in self.candidates(service) {
+        for entry in self.candidates(service, now) {
             let server = self.servers.get(&entry.id).unwrap_or(&unknown);
             if !server.has_credit(Purpose::First, self.nodes, now) {
                 continue;
@@ -78,6 +78,6 @@
             let allowed = quota.map_or(Time::ZERO, |it| now + it.interval(self.nodes));
             server.down_until().max(allowed)
         };
-        self.candidates(service).map(available).min()
+        self.candidates(service, now).map(available).min()
     }
 }
--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -122,7 +122,7 @@
         let new = &self.entries[&id];
         let change = match &old {
             None => Some(Change::Added(id.clone())),
-            Some(old) if is_restart(old, new) => Some(Change::Restarted(id.clone())),
+            Some(old) if !old.is_same_instance(new) => Some(Change::Restarted(id.clone())),
             Some(old) if new.is_draining && !old.is_draining => Some(Change::Draining(id.clone())),
             Some(_) if was_lapsed => Some(Change::Returned(id.clone())),
             Some(_) => None,
@@ -210,7 +210,3 @@
         }
     }
 }
-
-fn is_restart(old: &Entry, new: &Entry) -> bool {
-    (old.born, old.address, &old.service) != (new.born, new.address, &new.service)
-}
--- a/crates/core/src/directory/entry.rs
+++ b/crates/core/src/directory/entry.rs
@@ -30,6 +30,13 @@
 }
 
 impl Entry {
+    /// Returns whether two entries are of one process instance of a server.
+    pub fn is_same_instance(&self, other: &Entry) -> bool {
+        let instance = |it: &Entry| (it.born, it.address);
+        instance(self) == instance(other)
+            && (&self.id, &self.service) == (&other.id, &other.service)
+    }
+
     /// Returns why no request can be sent to the server that this entry names, or `None` if one can.
     pub fn finding(&self) -> Option<String> {
         let Entry { id, address, cold, .. } = self;
--- a/crates/core/tests/direct/fixture.rs
+++ b/crates/core/tests/direct/fixture.rs
@@ -91,6 +91,7 @@
         extra_burst: 58.0,
         cold_factor: 1.5,
         cold_slack: 5.0,
+        drain_time: Duration::from_secs(3),
         assumed_nodes: 1,
     }
 }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -17,6 +17,7 @@
 mod hung_readers;
 mod lapsed_entries;
 mod late_news;
+mod leaving_servers;
 mod load_patterns;
 mod lost_servers;
 mod merged_records;
--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -10,7 +10,7 @@
 };
 use mimosabridge_node::clock::Clock;
 
-use super::{Link, LinkError, Pool, Reply, classify};
+use super::{Link, LinkError, Notice, Pool, Reply, classify};
 use crate::{events, wire::Headers};
 
 /// A request as it is sent to servers, without the headers that differ between attempts.
@@ -127,7 +127,8 @@
     let (head, body) = response.into_parts();
     let signature = head.headers.get(&names.signature).cloned();
     let stated = stated(&head.headers, names);
-    Reply { status: head.status, headers: head.headers, body, signature, stated }
+    let notice = Notice::new(&head.headers, names);
+    Reply { status: head.status, headers: head.headers, body, signature, stated, notice }
 }
 
 /// Returns what a server says of the requests that it takes, or `None` if that is not a valid
--- a/crates/direct/src/backend/health.rs
+++ b/crates/direct/src/backend/health.rs
@@ -1,15 +1,25 @@
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, header};
+use http::{HeaderValue, Request, header};
 use http_body_util::Full;
 use mimosabridge::{directory::Entry, name::Name, plan::Plan};
 use mimosabridge_node::clock::Clock;
 use snafu::Snafu;
 
-use super::{Link, LinkError, Pool};
+use super::{Link, LinkError, Notice, Pool};
+use crate::wire::Headers;
 
 /// The path of the health check of a server whose service the configuration does not name.
 const DEFAULT_PATH: &str = "/";
 
+/// The answer of a server to a health check.
+#[derive(Clone, Debug)]
+pub struct Health {
+    /// The identity that the server gives, if any.
+    pub id: Option<Name>,
+    /// What the server says of itself.
+    pub notice: Notice,
+}
+
 /// Why a server could not be asked for its health.
 #[derive(Debug, Snafu)]
 pub enum HealthError {
@@ -28,15 +38,14 @@
 }
 
 /// Asks a server for its health, over a new connection, which is kept if the answer is a success: a
-/// late copy of a rejection, which names no request, would look like that of the next one. Returns the
-/// name that the server gives in its answer, if any.
+/// late copy of a rejection, which names no request, would look like that of the next one.
 pub async fn ask_health(
     pool: &Pool,
     clock: Clock,
     server: &Entry,
     plan: &Plan,
-    id_header: &HeaderName,
-) -> Result<Option<Name>, HealthError> {
+    names: &Headers,
+) -> Result<Health, HealthError> {
     let path = plan.service(&server.service).map_or(DEFAULT_PATH, |it| it.health_path.as_str());
     let request = Request::get(path).header(header::HOST, server.address.to_string());
     let request = request.body(Full::new(Bytes::new()))?;
@@ -45,6 +54,7 @@
     if answer.status().is_success() {
         pool.keep(&server.id, link, None, clock.now()).await;
     }
-    let id = answer.headers().get(id_header).map(HeaderValue::to_str);
-    Ok(id.and_then(Result::ok).map(Name::new))
+    let id = answer.headers().get(&names.server_id).map(HeaderValue::to_str);
+    let id = id.and_then(Result::ok).map(Name::new);
+    Ok(Health { id, notice: Notice::new(answer.headers(), names) })
 }
--- a/crates/direct/src/backend/mod.rs
+++ b/crates/direct/src/backend/mod.rs
@@ -6,15 +6,17 @@
 mod identity;
 mod limited;
 mod link;
+mod notice;
 mod pool;
 mod reply;
 
 pub use self::{
     classify::classify,
     exchange::{Completion, Outgoing, exchange},
-    health::{HealthError, ask_health},
+    health::{Health, HealthError, ask_health},
     identity::Identity,
     link::{History, Link, LinkError},
+    notice::Notice,
     pool::Pool,
     reply::Reply,
 };
--- a/crates/direct/src/backend/reply.rs
+++ b/crates/direct/src/backend/reply.rs
@@ -2,6 +2,8 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use mimosabridge::balance::Stated;
 
+use super::Notice;
+
 /// A complete answer of a backend server.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -15,4 +17,6 @@
     pub signature: Option<HeaderValue>,
     /// What the server says of the requests that it takes, or `None` if that is not a valid number.
     pub stated: Option<Stated>,
+    /// What the server says of itself.
+    pub notice: Notice,
 }
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -74,6 +74,8 @@
 pub const REJECTED: Event = Event::new(5205, Level::Info, "request rejected");
 /// The caller disconnected before its answer.
 pub const LEFT: Event = Event::new(5206, Level::Info, "caller left");
+/// A server has said in an answer that it leaves.
+pub const SERVER_LEAVING: Event = Event::new(5122, Level::Info, "backend server leaves");
 /// An attempt ended without a usable answer.
 pub const ATTEMPT: Event = Event::new(5207, Level::Info, "attempt failed");
 
@@ -103,6 +105,7 @@
     DISCONTINUED,
     LIMIT,
     SCOUT_FAILED,
+    SERVER_LEAVING,
     SERVED,
     PARTIAL,
     REFUSED,
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -4,6 +4,7 @@
 use mimosabridge::{
     balance::Stated,
     fingerprint::Fingerprint,
+    name::Name,
     plan::{Plan, Target},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
     time::Time,
@@ -43,6 +44,8 @@
     started_at: Time,
     attempts: FuturesUnordered<LocalBoxFuture<'static, Ended>>,
     replies: HashMap<usize, Reply>,
+    /// The servers that have answered that they leave.
+    leaving: Vec<Name>,
     /// Whether the content was reported as one that may end servers.
     is_reported: bool,
     is_answered: bool,
@@ -85,12 +88,16 @@
         started_at,
         attempts: FuturesUnordered::new(),
         replies: HashMap::new(),
+        leaving: Vec::new(),
         is_reported: false,
         is_answered: false,
     };
     let verdict = execution.execute().await;
     let mut answer = execution.answer(&verdict);
     execution.is_answered = true;
+    if origin == Origin::Node {
+        respond::name_leaving(&mut answer, &execution.leaving);
+    }
     if origin == Origin::Caller && matches!(verdict, Verdict::Refuse(_)) {
         let Execution { shared, run, outgoing, .. } = &execution;
         answer = relay(shared, run.rule(), outgoing, deadline).await.unwrap_or(answer);
@@ -187,6 +194,7 @@
         }
         if let Some(reply) = reply {
             self.record_stated(&attempt, end, &reply);
+            self.record_notice(&attempt, end, &reply);
             self.replies.insert(attempt.number, reply);
         }
         let actions = self.decide(|run, context| run.on_end(attempt.number, end, context));
@@ -219,6 +227,24 @@
         }
     }
 
+    /// Records what a server says of itself, if the answer is one to this request.
+    fn record_notice(&mut self, attempt: &Attempt, end: End, reply: &Reply) {
+        let name = &self.shared.headers.request_id;
+        let is_own = match end {
+            End::Served | End::Failed | End::Shed => true,
+            // An answer that names this request, but can't be used.
+            End::Invalid => Identity::new(&reply.headers, name, &self.outgoing.id) == Identity::Own,
+            End::Misdirected | End::Unsent | End::Broken | End::Silent => false,
+        };
+        if !is_own {
+            return;
+        }
+        self.shared.on_notice(&attempt.server, reply.notice, "answer");
+        if reply.notice.is_leaving {
+            self.leaving.push(attempt.server.id.clone());
+        }
+    }
+
     /// Returns whether an answer has the same signature as an earlier one: a merged answer that
     /// names a signature twice would be wrong as a whole.
     fn is_duplicate(&self, end: End, reply: Option<&Reply>) -> bool {
--- a/crates/direct/src/front/evidence.rs
+++ b/crates/direct/src/front/evidence.rs
@@ -9,7 +9,7 @@
 };
 
 use crate::{
-    backend::{Completion, HealthError, LinkError, ask_health},
+    backend::{Completion, Health, HealthError, LinkError, ask_health},
     node::Shared,
 };
 
@@ -99,17 +99,20 @@
     tokio::time::sleep(CHECK_DELAY).await;
     let since = shared.now();
     let Shared { pool, clock, headers, .. } = &*shared;
-    let health = ask_health(pool, *clock, &server, &plan, &headers.server_id);
+    let health = ask_health(pool, *clock, &server, &plan, headers);
     match tokio::time::timeout(CHECK_TIMEOUT, health).await {
-        Ok(Ok(Some(id))) if id == server.id => shared.on_answered(&server.id, since),
-        Ok(Ok(Some(_))) => shared.on_sign(&server.id, Sign::Replaced),
+        Ok(Ok(Health { id: Some(id), notice })) if id == server.id => {
+            shared.on_notice(&server, notice, "health check");
+            shared.on_answered(&server.id, since);
+        }
+        Ok(Ok(Health { id: Some(_), .. })) => shared.on_sign(&server.id, Sign::Replaced),
         Ok(Err(HealthError::Link { source })) => {
             if let Some(sign) = source.sign() {
                 shared.on_sign(&server.id, sign);
             }
         }
         // No answer, or one without a name, shows nothing.
-        Ok(Ok(None) | Err(HealthError::Request { .. })) | Err(_) => {}
+        Ok(Ok(Health { id: None, .. }) | Err(HealthError::Request { .. })) | Err(_) => {}
     }
     shared.on_checked(&server.id);
 }
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -6,6 +6,7 @@
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use mimosabridge::{
+    name::Name,
     plan::Rule,
     reach::{Ending, Helper, Relay, Step},
     time::Time,
@@ -13,7 +14,7 @@
 
 use super::respond::{self, Answer};
 use crate::{
-    backend::{Identity, Link, LinkError, Outgoing},
+    backend::{Identity, Link, LinkError, Notice, Outgoing},
     events,
     node::Shared,
     wire::Headers,
@@ -45,6 +46,9 @@
                 };
                 let (ending, answer) = classify(sent, outgoing, &shared.headers);
                 record(shared, rule, outgoing, &helper, ending, answer.as_ref(), now);
+                if let Some(answer) = &answer {
+                    record_leaving(shared, answer);
+                }
                 if !matches!(ending, Ending::Answered | Ending::Refused) {
                     shared.state.borrow_mut().reach.on_refusal(&helper.name, shared.now());
                 }
@@ -109,6 +113,20 @@
     Ok(answer)
 }
 
+/// Records the servers that have answered the other node that they leave.
+fn record_leaving(shared: &Shared, answer: &Response<Bytes>) {
+    for id in answer.headers().get_all(respond::LEAVING) {
+        let id = id.to_str().map(Name::new);
+        let server = id.ok().and_then(|it| {
+            let state = shared.state.borrow();
+            state.balancer.directory().get(&it).cloned()
+        });
+        if let Some(server) = server {
+            shared.on_notice(&server, Notice { is_leaving: true }, "relayed answer");
+        }
+    }
+}
+
 fn record(
     shared: &Shared,
     rule: &Rule,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -29,6 +29,8 @@
     pub has_lost_servers: IntGauge,
     /// The number of contents with at least one crash.
     pub suspect_contents: IntGauge,
+    /// The number of servers that have said in an answer that they leave.
+    pub leaving_servers: IntCounter,
     /// The number of hedged attempts.
     pub hedges: IntCounter,
     /// The number of requests in progress.
@@ -71,6 +73,10 @@
             has_lost_servers: gauge("lost_servers", "1 while no server answers this node."),
             suspect_contents: gauge("suspect_contents", "Contents held against a crash."),
             missing_shards: counter("missing_shards_total", "Shards that answers lacked."),
+            leaving_servers: counter(
+                "leaving_servers_total",
+                "Servers that said in an answer that they leave.",
+            ),
             hedges: counter("hedges_total", "Second attempts beside one that was late."),
             under_way: gauge("requests_under_way", "Requests under way."),
             plan_version: gauge("config_version", "Version of the configuration in force."),
@@ -107,7 +113,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 18] = [
+        let collectors: [Box<dyn Collector>; 19] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.attempts.clone()),
@@ -117,6 +123,7 @@
             Box::new(self.has_lost_servers.clone()),
             Box::new(self.suspect_contents.clone()),
             Box::new(self.missing_shards.clone()),
+            Box::new(self.leaving_servers.clone()),
             Box::new(self.hedges.clone()),
             Box::new(self.under_way.clone()),
             Box::new(self.plan_version.clone()),
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -127,8 +127,11 @@
         let (crashes, dropped) = {
             let state = &mut *self.state.borrow_mut();
             state.quarantine.expire(now);
-            let directory = state.balancer.directory();
-            let is_leaving = |it: &Name| directory.get(it).is_some_and(|it| it.is_draining);
+            let balancer = &state.balancer;
+            let is_leaving = |it: &Name| {
+                let entry = balancer.directory().get(it);
+                entry.is_some_and(|it| it.is_draining || balancer.is_leaving(it))
+            };
             let crashes = state.crash_detector.weigh(is_leaving, now);
             (crashes, state.crash_detector.expire(now))
         };
--- a/crates/direct/src/node/mod.rs
+++ b/crates/direct/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod admin;
 mod crashes;
+mod notices;
 mod reach;
 mod run;
 mod settings;
--- a/crates/direct/src/node/reach.rs
+++ b/crates/direct/src/node/reach.rs
@@ -57,10 +57,16 @@
     }
 
     /// Returns whether a server answers a health check over a new connection.
-    async fn is_answered_by(&self, server: &Entry) -> bool {
+    async fn is_answered_by(&self, server: &Arc<Entry>) -> bool {
         let Some(plan) = self.plan() else { return false };
-        let health = ask_health(&self.pool, self.clock, server, &plan, &self.headers.server_id);
-        matches!(tokio::time::timeout(CHECK_TIMEOUT, health).await, Ok(Ok(_)))
+        let health = ask_health(&self.pool, self.clock, server, &plan, &self.headers);
+        let Ok(Ok(health)) = tokio::time::timeout(CHECK_TIMEOUT, health).await else {
+            return false;
+        };
+        if health.id.as_ref() == Some(&server.id) {
+            self.on_notice(server, health.notice, "health check");
+        }
+        true
     }
 
     /// Returns servers at random, first those that have not failed lately.
--- a/crates/direct/src/wire/headers.rs
+++ b/crates/direct/src/wire/headers.rs
@@ -21,4 +21,6 @@
     pub server_limit: HeaderName,
     /// Marks the rejection of a request that has not run.
     pub not_run: HeaderName,
+    /// Marks the answers of a server that leaves, with the value 1.
+    pub server_leaving: HeaderName,
 }
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -49,6 +49,7 @@
         missing_shards: HeaderName::from_static("x-missing"),
         server_limit: HeaderName::from_static("x-limit"),
         not_run: HeaderName::from_static("x-refused"),
+        server_leaving: HeaderName::from_static("x-leaving"),
     }
 }
 
@@ -114,6 +115,7 @@
                 extra_burst: 58.0,
                 cold_factor: 1.5,
                 cold_slack: 5.0,
+                drain_time: Duration::from_secs(3),
                 assumed_nodes: 2,
             },
             headers: headers(),
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -76,6 +76,8 @@
     pub requests: Rc<RefCell<Vec<String>>>,
     /// The identities of the requests that [`Behavior::LateRejection`] ran.
     pub runs: Rc<RefCell<Vec<String>>>,
+    /// Header lines that the server adds to its answers, each with its end.
+    pub more: Rc<RefCell<String>>,
     /// The number of late copies that were sent in front of other answers.
     pub copies: Rc<Cell<usize>>,
     /// The number of connections that the other side closed before the answer.
@@ -98,6 +100,7 @@
             behavior: Rc::new(Cell::new(behavior)),
             requests: Rc::default(),
             runs: Rc::default(),
+            more: Rc::default(),
             copies: Rc::default(),
             disconnected: Rc::default(),
             endless_bytes: Rc::default(),
@@ -152,7 +155,9 @@
             if behavior.get() == Behavior::Hang {
                 return std::future::pending().await;
             }
-            let head = format!("HTTP/1.1 200 OK\r\nx-server-id: {id}\r\ncontent-length: 0\r\n\r\n");
+            let more = server.more.borrow().clone();
+            let head =
+                format!("HTTP/1.1 200 OK\r\nx-server-id: {id}\r\n{more}content-length: 0\r\n\r\n");
             if stream.write_all(head.as_bytes()).await.is_err() {
                 return;
             }
@@ -163,9 +168,10 @@
         requests.borrow_mut().push(text);
         let number = requests.borrow().len();
         let body = format!("{:_>16}", id.as_str());
+        let more = server.more.borrow().clone();
         let answer = |request_id: &str, body: &str| {
             format!(
-                "HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: {id}.{number}\r\n\
+                "HTTP/1.1 200 OK\r\nx-id: {request_id}\r\nx-signature: {id}.{number}\r\n{more}\
                  content-length: {}\r\n\r\n{body}",
                 body.len()
             )
@@ -186,7 +192,7 @@
                 return std::future::pending().await;
             }
             Behavior::Correct | Behavior::Crash | Behavior::End(_) => answer(&request_id, &body),
-            Behavior::Shed => rejection("503 Full", &request_id),
+            Behavior::Shed => rejection("503 Full", &request_id, &more),
             Behavior::Bare503 => format!(
                 "HTTP/1.1 503 Broken\r\nx-id: {request_id}\r\nx-signature: {id}.{number}\r\n\
                  content-length: 0\r\n\r\n"
@@ -213,7 +219,7 @@
                     server.copies.set(server.copies.get() + 1);
                 }
                 if number % 2 == 1 {
-                    late_copy = rejection(status, &request_id);
+                    late_copy = rejection(status, &request_id, &more);
                     copy + &late_copy
                 } else {
                     server.runs.borrow_mut().push(request_id.clone());
@@ -248,8 +254,10 @@
 }
 
 /// Returns the rejection of a request that has not run.
-fn rejection(status: &str, request_id: &str) -> String {
-    format!("HTTP/1.1 {status}\r\nx-refused: 1\r\nx-id: {request_id}\r\ncontent-length: 0\r\n\r\n")
+fn rejection(status: &str, request_id: &str, more: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-refused: 1\r\nx-id: {request_id}\r\n{more}content-length: 0\r\n\r\n"
+    )
 }
 
 /// Answers a request in the place of a server that has ended. Returns whether there is an answer.
