Grant servers the rest that they ask for

Before, such a rejection counted as a failure, and the server got retries.

Change: the rest holds for one process of a server, the latest end counts, ten minutes at most. No first sends, retries, hedges or health checks go there; afterwards one request at a time, one more each 0.1 s for a second. Where all rest, callers are refused at once and told when the first is back, spread over a second; a query's refusal now says when enough shards can be tried, not all. A rest counts as no failure, and other nodes don't hear of it. Only a rejection that names the request counts, or a health check that names the server; odd values are logged and ignored.

Ruled out: keeping the rest with the observations of a server, which are lost when its entry lapses for a moment.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -160,8 +160,9 @@
             if tried.contains(&entry.id) {
                 continue;
             }
+            let room = self.room(&entry, max, now);
             let server = self.servers.entry(entry.id.clone()).or_default();
-            let has_room = server.running() < max && server.has_credit(purpose, self.nodes, now);
+            let has_room = server.running() < room && server.has_credit(purpose, self.nodes, now);
             if server.is_down(now) || !has_room {
                 continue;
             }
@@ -304,6 +305,11 @@
         service: &Name,
         now: Time,
     ) -> impl Iterator<Item = &Arc<Entry>> {
+        self.remaining(service, now).filter(move |it| !self.is_resting(it, now))
+    }
+
+    /// Returns the servers of a service that may get requests now or after a rest.
+    pub(super) fn remaining(&self, service: &Name, now: Time) -> impl Iterator<Item = &Arc<Entry>> {
         let servers = self.directory.by_service(service);
         servers.filter(move |it| self.may_receive(it) && !self.has_left(it, now))
     }
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -3,7 +3,8 @@
 //! Handles servers of different speed, servers that pause or turn slow, servers that reject or fail
 //! part of their requests, servers that are down or silent, and cold servers that can take only a
 //! few requests from all nodes together. A server that states a limit gets no more from all
-//! nodes together than it takes, and one that says that it leaves gets what no other can take.
+//! nodes together than it takes, and one that says that it leaves gets what no other can take. One that
+//! says that it rests gets nothing meanwhile.
 
 mod aggregate;
 mod balancer;
@@ -17,6 +18,7 @@
 mod notices;
 mod purpose;
 mod quota;
+mod resting;
 mod server;
 mod settings;
 mod stated;
@@ -30,6 +32,7 @@
     meter::Meter,
     purpose::Purpose,
     quota::Quota,
+    resting::MAX_REST,
     server::{IDLE_TIMEOUT, Observation, Server},
     settings::{ASSUMED_NODES, Settings},
     stated::Stated,
--- a/crates/core/src/balance/notices.rs
+++ b/crates/core/src/balance/notices.rs
@@ -22,6 +22,8 @@
     entry: Arc<Entry>,
     /// When this node learned that the server leaves, if it does.
     pub leaves_since: Option<Time>,
+    /// Until when the server wants no requests of this node, if it has said so.
+    pub rests_until: Option<Time>,
 }
 
 impl Notices {
@@ -39,7 +41,7 @@
         }
         if known.is_none_or(|it| !it.is_same_instance(entry)) {
             self.remove(&entry.id);
-            let notice = Notice { entry: entry.clone(), leaves_since: None };
+            let notice = Notice { entry: entry.clone(), leaves_since: None, rests_until: None };
             self.by_server.insert(entry.id.clone(), notice);
             self.order.push_back(entry.id.clone());
         }
--- a/crates/core/src/balance/server.rs
+++ b/crates/core/src/balance/server.rs
@@ -47,6 +47,8 @@
     Served,
     /// The server rejected the request without running it.
     Shed,
+    /// The server wants no requests for some time, which says nothing of its health.
+    Resting,
     /// The server failed, or the connection broke.
     Failed,
     /// No connection could be opened.
@@ -142,7 +144,7 @@
             self.under_way.swap_remove(index);
         }
         self.count(observation, slowness);
-        if matches!(observation, Observation::Served | Observation::Shed) {
+        if matches!(observation, Observation::Served | Observation::Shed | Observation::Resting) {
             self.idle += 1;
             self.idle_since = now;
         }
@@ -156,6 +158,7 @@
                 self.record_failure(1.0, now);
                 self.on_reached(warm_up, now);
             }
+            Observation::Resting => self.on_reached(warm_up, now),
             Observation::Failed => self.record_failure(1.0, now),
             Observation::Unreachable => self.on_unreachable(now),
             Observation::Silent => {
@@ -260,7 +263,7 @@
             Observation::Shed | Observation::Failed | Observation::Unreachable => {
                 Tally { failures: 1, ..Tally::default() }
             }
-            Observation::Abandoned => return,
+            Observation::Resting | Observation::Abandoned => return,
         };
         self.unreported.add(tally);
     }
--- a/crates/core/src/balance/wait.rs
+++ b/crates/core/src/balance/wait.rs
@@ -35,11 +35,12 @@
                 continue;
             }
             let is_down = server.is_down(now);
+            let room = self.room(entry, max, now);
             if !is_down {
-                free += max.saturating_sub(server.running());
-                connections += max;
+                free += room.saturating_sub(server.running());
+                connections += room;
             }
-            let has_room = server.running() < max;
+            let has_room = server.running() < room;
             let wait = if has_room { Duration::ZERO } else { server.free_in(now) };
             let answer = usual.mul_f64(server.slowness(now).max(0.1));
             let answer = now.until(server.down_until()).max(wait) + answer;
@@ -69,15 +70,19 @@
     }
 
     /// Returns the earliest time at which a server of a service may be tried by any node, which
-    /// lies ahead only if all are down or have used up their limits. Returns `None` if the service
-    /// has no server.
-    pub fn available_at(&self, service: &Name, now: Time) -> Option<Time> {
+    /// lies ahead only if all are down, rest or have used up their limits. Returns `None` if the
+    /// service has no server.
+    pub fn available_at(&mut self, service: &Name, now: Time) -> Option<Time> {
+        let return_delay = self.return_delay();
         let available = |entry: &Arc<Entry>| {
+            if let Some(until) = self.rests_until(entry).filter(|it| *it > now) {
+                return until + return_delay;
+            }
             let Some(server) = self.servers.get(&entry.id) else { return Time::ZERO };
             let quota = server.quota().filter(|it| !it.has_credit(self.nodes, now));
             let allowed = quota.map_or(Time::ZERO, |it| now + it.interval(self.nodes));
             server.down_until().max(allowed)
         };
-        self.candidates(service, now).map(available).min()
+        self.remaining(service, now).map(available).min()
     }
 }
--- a/crates/core/src/scatter/end.rs
+++ b/crates/core/src/scatter/end.rs
@@ -9,6 +9,8 @@
     Failed,
     /// The server reported that it did not run the request, for lack of capacity or of time.
     Shed,
+    /// The server did not run the request, and wants none for some time.
+    Resting,
     /// Another server now has the address; it did not run the request.
     Misdirected,
     /// No connection could be opened; nothing was sent.
@@ -27,6 +29,7 @@
         match self {
             End::Served => Observation::Served,
             End::Shed => Observation::Shed,
+            End::Resting => Observation::Resting,
             End::Failed | End::Broken | End::Invalid => Observation::Failed,
             End::Misdirected | End::Unsent => Observation::Unreachable,
             End::Silent => Observation::Silent,
@@ -35,6 +38,6 @@
 
     /// Returns whether the request provably did not run in this attempt.
     pub fn is_not_run(self) -> bool {
-        matches!(self, End::Shed | End::Misdirected | End::Unsent)
+        matches!(self, End::Shed | End::Resting | End::Misdirected | End::Unsent)
     }
 }
--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -176,7 +176,7 @@
                 self.lost += 1;
                 self.first_lost.get_or_insert_with(|| attempt.clone());
             }
-            End::Shed | End::Misdirected | End::Unsent => {}
+            End::Shed | End::Resting | End::Misdirected | End::Unsent => {}
         }
         let shard = &mut self.shards[attempt.shard];
         shard.under_way -= 1;
@@ -184,7 +184,7 @@
         if end == End::Unsent {
             shard.tried.retain(|it| *it != attempt.server.id);
             shard.sends -= 1;
-        } else if end != End::Shed {
+        } else if !matches!(end, End::Shed | End::Resting) {
             shard.excluded.push(attempt.server.id.clone());
         }
         if matches!(shard.state, State::Served(_)) || self.is_finished {
@@ -414,13 +414,15 @@
         unserved_verdict(evidence, is_late, retry_after)
     }
 
-    /// Returns how long a refused caller should wait: until each shard has a server that may be
+    /// Returns how long a refused caller should wait: until enough shards have a server that may be
     /// tried, and at least the share of the objective set by [`RETRY_AFTER_DIVISOR`].
-    fn retry_after(&self, context: &Context<'_>) -> Duration {
+    fn retry_after(&self, context: &mut Context<'_>) -> Duration {
         let least = self.rule.objective / RETRY_AFTER_DIVISOR;
         let from = |it: &Shard| context.balancer.available_at(&it.service, context.now);
-        let latest = self.shards.iter().filter_map(from).max().unwrap_or_default();
-        context.now.until(latest).max(least)
+        let mut times: Vec<_> = self.shards.iter().filter_map(from).collect();
+        times.sort_unstable();
+        let enough = times.get(self.needed().saturating_sub(1)).or(times.last());
+        context.now.until(enough.copied().unwrap_or_default()).max(least)
     }
 
     /// Returns whether the shards wait for the answer of the first.
--- a/crates/core/tests/direct/load_patterns.rs
+++ b/crates/core/tests/direct/load_patterns.rs
@@ -155,3 +155,31 @@
     println!("{score} {tallies:?}");
     assert!(score > TARGET, "{score}");
 }
+
+/// Load pattern: half of the servers of each shard want no requests for some seconds, while twice as
+/// many callers come as usual.
+#[test]
+fn half_rests_in_burst() {
+    let rest = Duration::from_secs(5);
+    let run = |seed, grants_rests| {
+        let mut simulation = Simulation::new(9, seed, |_| {});
+        simulation.grants_rests = grants_rests;
+        simulation.run(RATE, Duration::from_secs(4));
+        let until = simulation.now() + rest;
+        for server in simulation.servers.values_mut().step_by(2) {
+            server.rests_until = until;
+        }
+        simulation.run(2.0 * RATE, Duration::from_secs(8))
+    };
+    let all = |grants_rests| (31..37).map(|it| run(it, grants_rests)).collect::<Vec<_>>();
+    let (with, without) = (all(true), all(false));
+    println!("granted {with:?}\nignored {without:?}");
+    let score = |it: &[Tally]| it.iter().map(Tally::score).sum::<f64>();
+    assert!(score(&with) > score(&without), "{with:?} against {without:?}");
+    let unserved = |it: &[Tally]| it.iter().map(|it| it.refused + it.failed).sum::<usize>();
+    assert!(unserved(&with) < unserved(&without), "{with:?} against {without:?}");
+    for tally in &with {
+        // Of 15 servers and nine nodes, two that cross the first answer.
+        assert!(tally.unwanted <= 2 * 9 * 15, "{tally:?}");
+    }
+}
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -25,6 +25,7 @@
 mod planned_stop;
 mod recorded_packets;
 mod relayed_requests;
+mod resting_servers;
 mod restored_fleet;
 mod restored_store;
 mod rule_lookup;
--- a/crates/core/tests/direct/model/server.rs
+++ b/crates/core/tests/direct/model/server.rs
@@ -13,6 +13,8 @@
     pub shed: f64,
     /// Whether the server cannot be reached.
     pub is_down: bool,
+    /// Until when the server rejects requests and asks for a rest.
+    pub rests_until: Time,
     /// The length of each pause, the period at which pauses recur, and the start of the first one.
     pub pause: Option<(Duration, Duration, Duration)>,
 }
@@ -20,7 +22,14 @@
 impl Server {
     pub fn new(slots: usize) -> Server {
         let slots = vec![Time::ZERO; slots];
-        Server { slots, slowness: 1.0, shed: 0.0, is_down: false, pause: None }
+        Server {
+            slots,
+            slowness: 1.0,
+            shed: 0.0,
+            is_down: false,
+            rests_until: Time::ZERO,
+            pause: None,
+        }
     }
 
     /// Runs a request that arrives now, and returns when its answer is sent.
--- a/crates/core/tests/direct/model/simulation.rs
+++ b/crates/core/tests/direct/model/simulation.rs
@@ -1,11 +1,13 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    sync::Arc,
     time::Duration,
 };
 
 use mimosabridge::{
     balance::Settings,
+    directory::Entry,
     feed::{Fact, Position, Snapshot},
     name::Name,
     plan::Rule,
@@ -43,6 +45,8 @@
     pub failed: usize,
     /// The requests that reached a server, beyond the first for each shard.
     pub extras: usize,
+    /// The requests that reached a server while it rested.
+    pub unwanted: usize,
 }
 
 impl Tally {
@@ -66,6 +70,10 @@
     finished: HashSet<usize>,
     /// Whether the nodes of a data centre send one another reports about servers.
     pub shares_reports: bool,
+    /// Whether the nodes grant servers the rest that these ask for.
+    pub grants_rests: bool,
+    /// The rests that servers ask for in answers under way.
+    rests: HashMap<(usize, usize), (Arc<Entry>, Duration)>,
     number: u64,
     now: Time,
     tally: Tally,
@@ -124,12 +132,19 @@
             runs: HashMap::new(),
             finished: HashSet::new(),
             shares_reports: true,
+            grants_rests: true,
+            rests: HashMap::new(),
             number: 0,
             now: fixture::at(0),
             tally: Tally::default(),
         }
     }
 
+    /// Returns the current time.
+    pub fn now(&self) -> Time {
+        self.now
+    }
+
     /// Simulates callers that send `per_second` requests per second for `length`. Returns the
     /// outcomes.
     pub fn run(&mut self, per_second: f64, length: Duration) -> Tally {
@@ -172,8 +187,12 @@
             }
             Event::End(id, attempt, end) => {
                 let Some((index, run, _)) = self.runs.get_mut(&id) else { return };
-                let end = [End::Served, End::Shed, End::Unsent][usize::from(end)];
-                let actions = run.on_end(attempt, end, &mut self.nodes[*index].context(now));
+                let ends = [End::Served, End::Shed, End::Unsent, End::Resting];
+                let node = &mut self.nodes[*index];
+                if let Some((server, rest)) = self.rests.remove(&(id, attempt)) {
+                    node.balancer.on_resting(&server, rest, now);
+                }
+                let actions = run.on_end(attempt, ends[usize::from(end)], &mut node.context(now));
                 self.act(id, actions, now);
             }
             Event::Report(_) if !self.shares_reports => {}
@@ -221,6 +240,16 @@
             return;
         }
         self.tally.extras += usize::from(is_extra);
+        if now < server.rests_until {
+            self.tally.unwanted += 1;
+            if self.grants_rests {
+                let rest = now.until(server.rests_until);
+                self.rests.insert((id, attempt.number), (attempt.server.clone(), rest));
+            }
+            let end = if self.grants_rests { 3 } else { 1 };
+            self.push(now + NETWORK_DELAY * 2, Event::End(id, attempt.number, end));
+            return;
+        }
         if self.rng.random::<f64>() < server.shed {
             self.push(now + NETWORK_DELAY * 2, Event::End(id, attempt.number, 1));
             return;
--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -10,7 +10,7 @@
 };
 use mimosabridge_node::clock::Clock;
 
-use super::{Link, LinkError, Notice, Pool, Reply, classify};
+use super::{Identity, Link, LinkError, Notice, Pool, Reply, classify};
 use crate::{events, wire::Headers};
 
 /// A request as it is sent to servers, without the headers that differ between attempts.
@@ -87,7 +87,11 @@
                 End::Misdirected => pool.close_all(server),
                 _ => pool.keep(server, link, Some(id), clock.now()).await,
             }
-            Completion { end, reply: Some(reply(response, names)), error: None }
+            let is_own = Identity::new(response.headers(), &names.request_id, id) == Identity::Own;
+            let reply = reply(response, names);
+            let is_resting = end == End::Shed && is_own && reply.notice.rest.is_some();
+            let end = if is_resting { End::Resting } else { end };
+            Completion { end, reply: Some(reply), error: None }
         }
         Err(error) => Completion::with_error(end_of_error(&error), error),
     }
@@ -127,7 +131,7 @@
     let (head, body) = response.into_parts();
     let signature = head.headers.get(&names.signature).cloned();
     let stated = stated(&head.headers, names);
-    let notice = Notice::new(&head.headers, names);
+    let notice = Notice::new(head.status, &head.headers, names);
     Reply { status: head.status, headers: head.headers, body, signature, stated, notice }
 }
 
--- a/crates/direct/src/backend/health.rs
+++ b/crates/direct/src/backend/health.rs
@@ -56,5 +56,5 @@
     }
     let id = answer.headers().get(&names.server_id).map(HeaderValue::to_str);
     let id = id.and_then(Result::ok).map(Name::new);
-    Ok(Health { id, notice: Notice::new(answer.headers(), names) })
+    Ok(Health { id, notice: Notice::new(answer.status(), answer.headers(), names) })
 }
--- a/crates/direct/src/backend/notice.rs
+++ b/crates/direct/src/backend/notice.rs
@@ -1,4 +1,7 @@
-use http::{HeaderMap, HeaderName};
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, StatusCode, header};
+use mimosabridge::balance::MAX_REST;
 
 use crate::{events, wire::Headers};
 
@@ -7,12 +10,16 @@
 pub struct Notice {
     /// Whether the server leaves.
     pub is_leaving: bool,
+    /// For how long the server wants no requests of this node.
+    pub rest: Option<Duration>,
 }
 
 impl Notice {
     /// Reads the head of an answer. Values that are not valid are logged and ignored.
-    pub fn new(headers: &HeaderMap, names: &Headers) -> Notice {
-        Notice { is_leaving: is_leaving(headers, &names.server_leaving) }
+    pub fn new(status: StatusCode, headers: &HeaderMap, names: &Headers) -> Notice {
+        let is_leaving = is_leaving(headers, &names.server_leaving);
+        let is_rejection = status == StatusCode::SERVICE_UNAVAILABLE;
+        Notice { is_leaving, rest: is_rejection.then(|| rest(headers)).flatten() }
     }
 }
 
@@ -31,3 +38,18 @@
     }
     invalid.is_none()
 }
+
+/// Returns for how long a server wants no requests: seconds, at most [`MAX_REST`]. A date is not valid.
+fn rest(headers: &HeaderMap) -> Option<Duration> {
+    let value = headers.get(header::RETRY_AFTER)?;
+    let seconds = value.to_str().ok().and_then(|it| it.trim().parse::<f64>().ok());
+    let seconds = seconds.filter(|it| it.is_finite() && *it >= 0.0);
+    if seconds.is_none_or(|it| it > MAX_REST.as_secs_f64()) {
+        events::TROUBLE.emit(&[
+            ("operation", &"read how long a server rests"),
+            ("error", &format_args!("{value:?} is not a number from 0 to {MAX_REST:?}")),
+        ]);
+    }
+    let rest = Duration::from_secs_f64(seconds?.min(MAX_REST.as_secs_f64()));
+    (!rest.is_zero()).then_some(rest)
+}
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -76,6 +76,8 @@
 pub const LEFT: Event = Event::new(5206, Level::Info, "caller left");
 /// A server has said in an answer that it leaves.
 pub const SERVER_LEAVING: Event = Event::new(5122, Level::Info, "backend server leaves");
+/// A server has said that it wants no requests of this node for some time.
+pub const SERVER_RESTING: Event = Event::new(5123, Level::Info, "backend server rests");
 /// An attempt ended without a usable answer.
 pub const ATTEMPT: Event = Event::new(5207, Level::Info, "attempt failed");
 
@@ -106,6 +108,7 @@
     LIMIT,
     SCOUT_FAILED,
     SERVER_LEAVING,
+    SERVER_RESTING,
     SERVED,
     PARTIAL,
     REFUSED,
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -18,7 +18,7 @@
     serve::Origin,
 };
 use crate::{
-    backend::{Completion, Identity, LinkError, Outgoing, Reply, exchange},
+    backend::{Completion, Identity, LinkError, Notice, Outgoing, Reply, exchange},
     events,
     metrics::label,
     node::Shared,
@@ -211,7 +211,7 @@
         let Some(stated) = reply.stated else { return };
         let counts = match end {
             End::Served | End::Failed => true,
-            End::Shed => stated != Stated::NoLimit,
+            End::Shed | End::Resting => stated != Stated::NoLimit,
             End::Misdirected | End::Unsent | End::Broken | End::Invalid | End::Silent => false,
         };
         let now = self.shared.now();
@@ -230,16 +230,18 @@
     /// Records what a server says of itself, if the answer is one to this request.
     fn record_notice(&mut self, attempt: &Attempt, end: End, reply: &Reply) {
         let name = &self.shared.headers.request_id;
+        let is_named = Identity::new(&reply.headers, name, &self.outgoing.id) == Identity::Own;
         let is_own = match end {
-            End::Served | End::Failed | End::Shed => true,
+            End::Served | End::Failed | End::Shed | End::Resting => true,
             // An answer that names this request, but can't be used.
-            End::Invalid => Identity::new(&reply.headers, name, &self.outgoing.id) == Identity::Own,
+            End::Invalid => is_named,
             End::Misdirected | End::Unsent | End::Broken | End::Silent => false,
         };
         if !is_own {
             return;
         }
-        self.shared.on_notice(&attempt.server, reply.notice, "answer");
+        let notice = Notice { rest: reply.notice.rest.filter(|_| is_named), ..reply.notice };
+        self.shared.on_notice(&attempt.server, notice, "answer");
         if reply.notice.is_leaving {
             self.leaving.push(attempt.server.id.clone());
         }
--- a/crates/direct/src/front/evidence.rs
+++ b/crates/direct/src/front/evidence.rs
@@ -37,7 +37,7 @@
 ) {
     let id = &attempt.server.id;
     match completion.end {
-        End::Served | End::Failed | End::Shed | End::Misdirected | End::Invalid => {
+        End::Served | End::Failed | End::Shed | End::Resting | End::Misdirected | End::Invalid => {
             shared.on_reached();
         }
         End::Broken => shared.on_unreached(id),
@@ -47,7 +47,7 @@
     let is_signed = completion.reply.as_ref().is_some_and(|it| it.signature.is_some());
     let loss = match completion.end {
         End::Served | End::Failed => return shared.on_content_answered(fingerprint, attempt),
-        End::Shed => return shared.on_answered(id, attempt.sent),
+        End::Shed | End::Resting => return shared.on_answered(id, attempt.sent),
         End::Invalid if is_signed => return shared.on_answered(id, attempt.sent),
         End::Misdirected => return shared.on_sign(id, Sign::Replaced),
         End::Unsent => {
@@ -98,6 +98,9 @@
 async fn check(shared: Rc<Shared>, server: Arc<Entry>, plan: Arc<Plan>) {
     tokio::time::sleep(CHECK_DELAY).await;
     let since = shared.now();
+    if shared.is_resting(&server) {
+        return shared.on_checked(&server.id);
+    }
     let Shared { pool, clock, headers, .. } = &*shared;
     let health = ask_health(pool, *clock, &server, &plan, headers);
     match tokio::time::timeout(CHECK_TIMEOUT, health).await {
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -122,7 +122,7 @@
             state.balancer.directory().get(&it).cloned()
         });
         if let Some(server) = server {
-            shared.on_notice(&server, Notice { is_leaving: true }, "relayed answer");
+            shared.on_notice(&server, Notice { is_leaving: true, rest: None }, "relayed answer");
         }
     }
 }
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -31,6 +31,8 @@
     pub suspect_contents: IntGauge,
     /// The number of servers that have said in an answer that they leave.
     pub leaving_servers: IntCounter,
+    /// The number of times that a server has said that it wants no requests for some time.
+    pub rests: IntCounter,
     /// The number of hedged attempts.
     pub hedges: IntCounter,
     /// The number of requests in progress.
@@ -77,6 +79,7 @@
                 "leaving_servers_total",
                 "Servers that said in an answer that they leave.",
             ),
+            rests: counter("rests_total", "Rests of servers that wanted no requests."),
             hedges: counter("hedges_total", "Second attempts beside one that was late."),
             under_way: gauge("requests_under_way", "Requests under way."),
             plan_version: gauge("config_version", "Version of the configuration in force."),
@@ -113,7 +116,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 19] = [
+        let collectors: [Box<dyn Collector>; 20] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.attempts.clone()),
@@ -124,6 +127,7 @@
             Box::new(self.suspect_contents.clone()),
             Box::new(self.missing_shards.clone()),
             Box::new(self.leaving_servers.clone()),
+            Box::new(self.rests.clone()),
             Box::new(self.hedges.clone()),
             Box::new(self.under_way.clone()),
             Box::new(self.plan_version.clone()),
@@ -152,6 +156,7 @@
         End::Served => "served",
         End::Failed => "failed",
         End::Shed => "shed",
+        End::Resting => "resting",
         End::Misdirected => "misdirected",
         End::Unsent => "unsent",
         End::Broken => "broken",
--- a/crates/direct/src/node/notices.rs
+++ b/crates/direct/src/node/notices.rs
@@ -6,6 +6,11 @@
 use crate::{backend::Notice, events};
 
 impl Shared {
+    /// Returns whether a server wants no requests now, also no health checks.
+    pub fn is_resting(&self, server: &Entry) -> bool {
+        self.state.borrow().balancer.is_resting(server, self.now())
+    }
+
     /// Records what a server says of itself. `source` says how this node learned it.
     pub fn on_notice(&self, server: &Arc<Entry>, notice: Notice, source: &str) {
         let balancer = &mut self.state.borrow_mut().balancer;
@@ -18,5 +23,16 @@
                 ("source", &source),
             ]);
         }
+        if let Some(rest) = notice.rest
+            && balancer.on_resting(server, rest, self.now())
+        {
+            self.metrics.rests.inc();
+            events::SERVER_RESTING.emit(&[
+                ("server", &server.id),
+                ("service", &server.service),
+                ("millis", &rest.as_millis()),
+                ("source", &source),
+            ]);
+        }
     }
 }
--- a/crates/direct/src/node/reach.rs
+++ b/crates/direct/src/node/reach.rs
@@ -69,10 +69,12 @@
         true
     }
 
-    /// Returns servers at random, first those that have not failed lately.
+    /// Returns servers at random that do not rest, first those that have not failed lately.
     fn servers_to_check(&self, count: usize) -> Vec<Arc<Entry>> {
         let state = self.state.borrow();
-        let servers = || state.balancer.directory().entries().cloned();
+        let (balancer, now) = (&state.balancer, self.now());
+        let awake = |it: &&Arc<Entry>| !balancer.is_resting(it, now);
+        let servers = || balancer.directory().entries().filter(awake).cloned();
         let sound = servers().filter(|it| !state.reach.has_failed(&it.id));
         let mut chosen = sound.sample(&mut rand::rng(), count);
         let failed = servers().filter(|it| state.reach.has_failed(&it.id));
@@ -86,7 +88,8 @@
 async fn check(shared: Rc<Shared>) {
     let servers = shared.servers_to_check(CHECKED_SERVERS);
     let answers = join_all(servers.iter().map(|it| shared.is_answered_by(it))).await;
-    let answers = answers.into_iter().filter(|it| *it).count();
+    // Servers that rest have answered before.
+    let answers = answers.into_iter().filter(|it| *it).count() + usize::from(servers.is_empty());
     let now = shared.now();
     if !shared.state.borrow_mut().reach.on_checks(answers, now) {
         return;
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -29,6 +29,8 @@
     Closed,
     /// Its answer is for another request.
     OtherRequest,
+    /// It rejects another request.
+    OtherRejection,
     /// It sends a second answer after the first.
     Extra,
     /// It sends a second copy of each answer late: in front of the next answer on the connection.
@@ -205,6 +207,7 @@
             }
             Behavior::Closed => return,
             Behavior::OtherRequest => answer("another", &body),
+            Behavior::OtherRejection => rejection("503 Full", "another", &more),
             Behavior::Extra => {
                 answer(&request_id, &body) + &answer(&request_id, "extra bytes here")
             }
