--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -156,10 +156,10 @@
         let mut best: Option<((bool, f64), Arc<Entry>)> = None;
         let entries: Vec<_> = self.candidates(service, now).cloned().collect();
         for entry in entries {
-            let is_leaving = self.is_leaving(&entry);
             if tried.contains(&entry.id) {
                 continue;
             }
+            let is_leaving = self.is_leaving(&entry);
             let room = self.room(&entry, max, now);
             let server = self.servers.entry(entry.id.clone()).or_default();
             let has_room = server.running() < room && server.has_credit(purpose, self.nodes, now);
