--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -57,6 +57,10 @@
 pub const SERVERS_REGAINED: Event = Event::new(5120, Level::Info, "servers answer again");
 /// A watch beside the readers failed.
 pub const SCOUT_FAILED: Event = Event::new(5121, Level::Info, "watch beside the readers failed");
+/// A server has said in an answer that it leaves.
+pub const SERVER_LEAVING: Event = Event::new(5122, Level::Info, "backend server leaves");
+/// A server has said that it wants no requests of this node for some time.
+pub const SERVER_RESTING: Event = Event::new(5123, Level::Info, "backend server rests");
 /// A server has stated a limit on its requests, or no longer states one.
 pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
 
@@ -74,10 +78,6 @@
 pub const REJECTED: Event = Event::new(5205, Level::Info, "request rejected");
 /// The caller disconnected before its answer.
 pub const LEFT: Event = Event::new(5206, Level::Info, "caller left");
-/// A server has said in an answer that it leaves.
-pub const SERVER_LEAVING: Event = Event::new(5122, Level::Info, "backend server leaves");
-/// A server has said that it wants no requests of this node for some time.
-pub const SERVER_RESTING: Event = Event::new(5123, Level::Info, "backend server rests");
 /// An attempt ended without a usable answer.
 pub const ATTEMPT: Event = Event::new(5207, Level::Info, "attempt failed");
 
