--- a/crates/core/tests/direct/leaving_servers.rs
+++ b/crates/core/tests/direct/leaving_servers.rs
@@ -7,18 +7,18 @@
     directory::Entry,
     feed::{Fact, Position, Snapshot},
     name::Name,
-    plan::{Limits, Spec, Target},
-    scatter::{Action, End, Run, Verdict},
+    plan::{Limits, Rule, Spec, Target},
+    scatter::{Action, Attempt, End, Run, Verdict},
     time::Time,
 };
 
-use crate::fixture::{Node, at, entry, rule, sends, service, verdict};
+use crate::fixture::{Node, at, entry, gather, rule, sends, service, verdict};
 
 /// The drain time is 3 s; a leaving server gets nothing in its last tenth.
 const LAST_USE: u64 = 2_600;
 const BOUND: u64 = 2_700;
 
-fn one() -> mimosabridge::plan::Rule {
+fn one() -> Rule {
     rule("one", Target::One(Name::new("one")))
 }
 
@@ -140,3 +140,33 @@
     node.extend(14, vec![Fact::Server(unborn)], at(7_000));
     assert_eq!(pick(&mut node, &[Name::new("i-1")], at(7_100)), Some(Name::new("i-2")));
 }
+
+/// All servers of a shard leave: after the bound the answer lacks the shard, or is refused at once if it
+/// lacks too many.
+#[test]
+fn shard_left_out() {
+    let shards: Vec<_> = (0..10_u16).map(|it| format!("s{it}")).collect();
+    let entries = (0..10_u16).map(|it| entry(it, &shards[usize::from(it)], "a")).collect();
+    let services = shards.iter().map(|it| service(it, 0.0)).collect();
+    let mut node = Node::new(vec![gather(10, 0.89)], services, entries);
+    let start = |node: &mut Node, now| {
+        let rule = node.rule("all");
+        let mut context = node.context(now);
+        let mut run = Run::new(rule, Duration::from_secs(3), &mut context);
+        let actions = run.start(&mut context);
+        (run, actions)
+    };
+    leave(&mut node, 1, at(0));
+    assert_eq!(sends(&start(&mut node, at(LAST_USE)).1).len(), 10);
+    let (mut run, actions) = start(&mut node, at(BOUND));
+    let attempts = sends(&actions);
+    assert_eq!(attempts.len(), 9);
+    let end = |it: &Attempt| run.on_end(it.number, End::Served, &mut node.context(at(BOUND + 20)));
+    let actions: Vec<_> = attempts.iter().flat_map(end).collect();
+    let attempts = (0..9).collect();
+    assert_eq!(verdict(&actions), Some(Verdict::Merge { attempts, missing: 1 }));
+
+    leave(&mut node, 2, at(0));
+    let (_, actions) = start(&mut node, at(BOUND));
+    assert!(matches!(verdict(&actions), Some(Verdict::Refuse(_))), "{actions:?}");
+}
