Log requests and answers that the end of a process or a connection cuts

The end of a process dropped its requests with the line of a caller that leaves (5206), and nothing said that an answer was not sent to its end, so that the hypotheses of docs/incidents/2026-12-05-requests-lost-around-stops.md could not be told apart.

Change: 5210, a request cut by the end of the process; 5211, an answer not sent to its end, with whether the node stops. A transport between the HTTP server and the socket notes whether a write was incomplete. No decision changes.

--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -84,6 +84,11 @@
 /// A late copy of an earlier answer came before the answer to a request.
 pub const COPY: Event = Event::new(5209, Level::Info, "late copy passed over");
 
+/// The process ended before the final answer to a request.
+pub const CUT: Event = Event::new(5210, Level::Warn, "request cut by the end of the process");
+/// A connection ended while a part of an answer was not sent yet.
+pub const UNSENT: Event = Event::new(5211, Level::Info, "answer not sent to its end");
+
 /// All events, by number.
 pub const ALL: &[Event] = &[
     STARTED,
@@ -120,4 +125,6 @@
     LEFT,
     ATTEMPT,
     COPY,
+    CUT,
+    UNSENT,
 ];
--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -1,6 +1,7 @@
-use std::{rc::Rc, time::Duration};
+use std::{borrow::Cow, cell::RefCell, convert::Infallible, rc::Rc, time::Duration};
 
-use hyper::{server::conn::http1, service::service_fn};
+use http::{HeaderValue, Request};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mimosabridge::{plan::Limits, stop::Phase};
 use socket2::{SockRef, TcpKeepalive};
@@ -9,7 +10,10 @@
     sync::watch,
 };
 
-use super::serve::{Origin, serve};
+use super::{
+    serve::{Origin, serve},
+    transport::{self, Transport},
+};
 use crate::{events, node::Shared};
 
 /// How long to wait after a connection could not be accepted, usually for lack of descriptors.
@@ -52,7 +56,7 @@
     mut phase: watch::Receiver<Option<Phase>>,
     origin: Origin,
 ) {
-    let _open = Open::new(shared.clone());
+    let open = Open::new(shared.clone());
     let limits = shared.plan().map_or_else(Limits::default, |it| *it.limits());
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
@@ -60,13 +64,17 @@
     // stays open longer after the caller is gone.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let service = service_fn(|request| serve(shared.clone(), request, origin));
+    let state = open.state.clone();
+    let service = service_fn(async |request: Request<Incoming>| {
+        open.id.replace(request.headers().get(&shared.headers.request_id).cloned());
+        Ok::<_, Infallible>(serve(shared.clone(), request, origin).await)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout counts from the last answer, so it includes the idle time of the connection.
         .header_read_timeout(limits.idle_time + limits.head_time)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(Transport::new(stream, state.clone())), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // Requests that have already arrived are read before an idle connection is closed.
@@ -82,17 +90,27 @@
 /// Counts a connection as open until dropped.
 struct Open {
     shared: Rc<Shared>,
+    state: Rc<transport::State>,
+    /// The identity of the latest request.
+    id: RefCell<Option<HeaderValue>>,
 }
 
 impl Open {
     fn new(shared: Rc<Shared>) -> Open {
         shared.state.borrow_mut().load.connections += 1;
-        Open { shared }
+        Open { shared, state: Rc::default(), id: RefCell::default() }
     }
 }
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.shared.state.borrow_mut().load.connections -= 1;
+        let mut state = self.shared.state.borrow_mut();
+        state.load.connections -= 1;
+        if !self.state.is_write_blocked() {
+            return;
+        }
+        let id = self.id.take();
+        let id = id.as_ref().map_or(Cow::default(), |it| String::from_utf8_lossy(it.as_bytes()));
+        events::UNSENT.emit(&[("id", &id), ("stopping", &state.stop.is_some())]);
     }
 }
--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -371,7 +371,8 @@
             return;
         }
         let millis = self.shared.now().since(self.started_at).as_millis();
-        events::LEFT.emit(&[
+        let event = if self.shared.is_ended() { events::CUT } else { events::LEFT };
+        event.emit(&[
             ("id", &self.id),
             ("rule", &self.run.rule().name),
             ("millis", &millis),
--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -7,5 +7,6 @@
 mod relay;
 mod respond;
 mod serve;
+mod transport;
 
 pub use self::{accept::accept, serve::Origin};
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -1,4 +1,4 @@
-use std::{convert::Infallible, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use http::{HeaderValue, Request, header, request};
 use hyper::body::Incoming;
@@ -38,11 +38,7 @@
 }
 
 /// Serves one request.
-pub async fn serve(
-    shared: Rc<Shared>,
-    request: Request<Incoming>,
-    origin: Origin,
-) -> Result<Answer, Infallible> {
+pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>, origin: Origin) -> Answer {
     let running = Running::new(shared.clone());
     let id = request.headers().get(&shared.headers.request_id).cloned();
     let mut answer = match answer(&shared, request, origin).await {
@@ -62,7 +58,7 @@
         answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     }
     drop(running);
-    Ok(answer)
+    answer
 }
 
 /// Returns the answer to a request. It is an error if this node can't serve the request, and
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -122,6 +122,7 @@
         }
     }
     exchange.leave();
+    shared.end();
     let Load { requests, connections } = shared.state.borrow().load;
     events::STOPPED.emit(&[("running", &requests), ("connections", &connections)]);
     Ok(())
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::BTreeSet,
     sync::{
         Arc,
@@ -49,6 +49,8 @@
     pub urgent_news: Notify,
     /// When the final answers to all requests are due, once a planned stop has begun.
     answers_due: watch::Sender<Option<Time>>,
+    /// Whether the process ends, whatever is under way.
+    is_ended: Cell<bool>,
 }
 
 /// What a node knows of the fleet, and its requests in progress.
@@ -103,6 +105,7 @@
             resumed: Notify::new(),
             urgent_news: Notify::new(),
             answers_due: watch::Sender::new(None),
+            is_ended: Cell::new(false),
         }
     }
 
@@ -124,6 +127,16 @@
         self.refresh_ready();
     }
 
+    /// Ends the node: what is still under way is dropped.
+    pub fn end(&self) {
+        self.is_ended.set(true);
+    }
+
+    /// Returns whether the node has ended.
+    pub fn is_ended(&self) -> bool {
+        self.is_ended.get()
+    }
+
     /// Waits until the final answers to all requests are due, in a planned stop.
     pub async fn answers_due(&self) {
         let mut due = self.answers_due.subscribe();
