Tell callers that a connection is closed, and read what has arrived before

Nothing ran, but they can't know it, so that requests that may run once only could not be repeated.

Cause: (a) an idle connection was closed by what the runtime knew of it; bytes that had arrived since it last asked the system were left unread, and the close reset the connection. (b) The listener was closed with connections in its queue, which resets them, with their requests. (c) A close said nothing, so that a request that crosses it can't be told from one that was cut.

Ruled out: that requests were read and dropped; hyper reads only through the transport, and none of these ran.

Change: when connections are closed, each is read once more from the system, in the same step as it is closed; connections in the queue of the listener are accepted first; and an idle connection carries 408 before its end, the answer that HTTP has for it and that callers take as not run (RFC 9110, 15.5.9). It costs nothing outside of a stop. Weighed: a short Keep-Alive time in each answer, which makes all callers connect anew after two idle seconds.

--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -1,6 +1,7 @@
-use std::{borrow::Cow, cell::RefCell, convert::Infallible, rc::Rc, time::Duration};
+use std::{borrow::Cow, cell::RefCell, convert::Infallible, io, rc::Rc, time::Duration};
 
-use http::{HeaderValue, Request};
+use futures_util::poll;
+use http::{HeaderValue, Request, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mimosabridge::{plan::Limits, stop::Phase};
@@ -45,7 +46,31 @@
                     tokio::time::sleep(ACCEPT_BACKOFF).await;
                 }
             },
-            _ = closing.wait_for(|it| *it >= Some(Phase::Closing)) => return,
+            _ = closing.wait_for(|it| *it >= Some(Phase::Closing)) => break,
+        }
+    }
+    match waiting(listener) {
+        Ok(streams) => {
+            for stream in streams {
+                tokio::task::spawn_local(connection(shared.clone(), stream, phase.clone(), origin));
+            }
+        }
+        Err(error) => events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]),
+    }
+}
+
+/// Closes a listener and returns the connections that waited to be accepted, which would be reset.
+fn waiting(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+    let listener = listener.into_std()?;
+    let mut streams = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                streams.push(TcpStream::from_std(stream)?);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) => return Err(error),
         }
     }
 }
@@ -67,7 +92,9 @@
     let state = open.state.clone();
     let service = service_fn(async |request: Request<Incoming>| {
         open.id.replace(request.headers().get(&shared.headers.request_id).cloned());
-        Ok::<_, Infallible>(serve(shared.clone(), request, origin).await)
+        let answer = serve(shared.clone(), request, origin).await;
+        state.on_answer(answer.headers().contains_key(header::CONNECTION));
+        Ok::<_, Infallible>(answer)
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -83,8 +110,12 @@
         _ = connection.as_mut() => return,
         _ = phase.wait_for(|it| *it >= Some(Phase::Closing)) => {}
     }
-    connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    state.begin_close();
+    if poll!(connection.as_mut()).is_pending() {
+        connection.as_mut().graceful_shutdown();
+        // An error of the connection matters only to the caller.
+        let _ = connection.await;
+    }
 }
 
 /// Counts a connection as open until dropped.
--- a/crates/direct/src/front/transport.rs
+++ b/crates/direct/src/front/transport.rs
@@ -1,16 +1,22 @@
 use std::{
     cell::Cell,
-    io::{self, IoSlice},
+    io::{self, ErrorKind, IoSlice, Read, Write},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
 };
 
+use socket2::{SockRef, Socket};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
+/// Tells a caller whose request crosses the close of its connection that it has not run (RFC 9110,
+/// section 15.5.9).
+const CLOSE_NOTICE: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// A connection as the HTTP server uses it.
 pub struct Transport {
     stream: TcpStream,
@@ -20,10 +26,23 @@
 /// What the owner of a connection and its transport tell each other.
 #[derive(Debug, Default)]
 pub struct State {
+    is_closing: Cell<bool>,
+    is_close_announced: Cell<bool>,
     is_write_blocked: Cell<bool>,
 }
 
 impl State {
+    /// Makes each read see what has arrived by then, and the close of a connection carry a notice
+    /// unless an answer announces it.
+    pub fn begin_close(&self) {
+        self.is_closing.set(true);
+    }
+
+    /// Records whether the latest answer announces that the connection is closed.
+    pub fn on_answer(&self, is_close_announced: bool) {
+        self.is_close_announced.set(is_close_announced);
+    }
+
     /// Returns whether a part of an answer waits for the caller to read.
     pub fn is_write_blocked(&self) -> bool {
         self.is_write_blocked.get()
@@ -36,6 +55,17 @@
         Transport { stream, state }
     }
 
+    /// Reads what has arrived, although the runtime may not have noticed it yet.
+    fn read_arrived(&self, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let mut socket: &Socket = &SockRef::from(&self.stream);
+        match socket.read(buffer.initialize_unfilled()) {
+            Ok(count) => buffer.advance(count),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => return Poll::Pending,
+            Err(error) => return Poll::Ready(Err(error)),
+        }
+        Poll::Ready(Ok(()))
+    }
+
     fn on_write(&self, written: &Poll<io::Result<usize>>, wanted: usize) {
         let is_complete = matches!(written, Poll::Ready(Ok(count)) if *count == wanted);
         self.state.is_write_blocked.set(!is_complete);
@@ -48,7 +78,10 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Pending if self.state.is_closing.get() => self.read_arrived(buffer),
+            read => read,
+        }
     }
 }
 
@@ -82,6 +115,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.state.is_closing.get() && !self.state.is_close_announced.replace(true) {
+            let mut socket: &Socket = &SockRef::from(&self.stream);
+            socket.write_all(CLOSE_NOTICE)?;
+        }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -53,6 +53,18 @@
     }
 }
 
+pub fn balance_settings() -> balance::Settings {
+    balance::Settings {
+        data_centre: Name::new("a"),
+        extra_ratio: 0.2,
+        extra_burst: 58.0,
+        cold_factor: 1.5,
+        cold_slack: 5.0,
+        drain_time: Duration::from_secs(3),
+        assumed_nodes: 2,
+    }
+}
+
 /// A running node.
 pub struct Node {
     pub front: SocketAddr,
@@ -109,15 +121,7 @@
             rpc,
             seeds,
             grace: Duration::from_secs(6),
-            balance: balance::Settings {
-                data_centre: Name::new("a"),
-                extra_ratio: 0.2,
-                extra_burst: 58.0,
-                cold_factor: 1.5,
-                cold_slack: 5.0,
-                drain_time: Duration::from_secs(3),
-                assumed_nodes: 2,
-            },
+            balance: balance_settings(),
             headers: headers(),
             ready_path: "/ready",
             source: source(published.clone(), watches.clone()),
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -4,6 +4,7 @@
 
 mod caller_disconnects;
 mod classified_answers;
+mod closed_connections;
 mod crashing_contents;
 mod cut_answers;
 mod endless_answers;
