Plan a stop with the grace time in the settings file, if it is shorter

What callers saw: if the platform lowers graceS from 6 to 3 while the process runs, with or without SIGHUP, a stop was planned with 6 and the process killed after 3.

Cause: the grace time was read once, at the start. The end of the process is a deadline, and the node didn't know the one in force.

Ruled out: a file that is half written or names an endless time (the grace time that was last known stays, event 5004 says so), and grace times of 0, 10 ms, 500 ms and 1e9 s: requests under way are answered and the process ends with success.

Change: the settings are read again when a stop begins, and its grace time is the smaller of the one at the start and the latest (stop::Grace). The reload function also returns the grace time. Event 5002 names it.

--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -14,6 +14,7 @@
 mod crash_spread;
 mod few_hedges;
 mod final_answer;
+mod grace_times;
 mod hung_readers;
 mod lapsed_entries;
 mod late_news;
--- a/crates/direct/src/node/mod.rs
+++ b/crates/direct/src/node/mod.rs
@@ -10,6 +10,6 @@
 
 pub use self::{
     run::run,
-    settings::Settings,
+    settings::{Reload, Settings},
     shared::{PAUSE_THRESHOLD, Shared, State},
 };
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -2,7 +2,7 @@
 
 use mimosabridge::{
     member::{Incarnation, Record, Roles, State},
-    stop::{Load, Phase},
+    stop::{Grace, Load, Phase},
 };
 use mimosabridge_node::timer;
 use snafu::{ResultExt, Snafu};
@@ -12,7 +12,7 @@
     sync::watch,
 };
 
-use super::{PAUSE_THRESHOLD, Settings, Shared, admin};
+use super::{PAUSE_THRESHOLD, Reload, Settings, Shared, admin};
 use crate::{
     events, feed,
     front::{self, Origin},
@@ -91,21 +91,23 @@
     tokio::task::spawn_local(callers);
     tokio::task::spawn_local(front::accept(shared.clone(), relays, phase, Origin::Node));
 
+    let mut grace = Grace::new(settings.grace);
     let mut ticks = timer.every(TICK_INTERVAL);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => {
-                let outcome = (settings.reload)();
-                events::RELOADED.emit(&[("outcome", &outcome)]);
-            }
+            _ = hangup.recv() => on_reload((settings.reload)(), &mut grace),
             Some(tick) = ticks.recv() => on_tick(&shared, tick),
         }
     }
 
-    shared.begin_stop(settings.grace);
-    events::STOPPING.emit(&[("running", &shared.state.borrow().load.requests)]);
+    on_reload((settings.reload)(), &mut grace);
+    shared.begin_stop(grace.time());
+    events::STOPPING.emit(&[
+        ("running", &shared.state.borrow().load.requests),
+        ("grace_millis", &grace.time().as_millis()),
+    ]);
     let mut ticks = timer.every(STOP_TICK_INTERVAL);
     while let Some(tick) = ticks.recv().await {
         let phase = {
@@ -128,6 +130,13 @@
     Ok(())
 }
 
+fn on_reload(Reload { grace, message }: Reload, current: &mut Grace) {
+    if let Some(grace) = grace {
+        current.update(grace);
+    }
+    events::RELOADED.emit(&[("outcome", &message)]);
+}
+
 fn on_tick(shared: &Rc<Shared>, tick: timer::Tick) {
     if tick.late >= PAUSE_THRESHOLD {
         events::PAUSED.emit(&[("millis", &tick.late.as_millis())]);
--- a/crates/direct/src/node/settings.rs
+++ b/crates/direct/src/node/settings.rs
@@ -33,6 +33,17 @@
     pub ready_path: &'static str,
     /// The source of published items.
     pub source: Source,
-    /// Called on the signal that the settings may have changed; returns a message for the log.
-    pub reload: Box<dyn Fn() -> String>,
+    /// Reads the settings again. Called on the signal that they may have changed, and when a planned
+    /// stop begins, since they may change without a signal.
+    pub reload: Box<dyn Fn() -> Reload>,
+}
+
+/// The result of reading the settings again.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reload {
+    /// How long the process may continue to run after the signal to stop, unless the settings can't be
+    /// used.
+    pub grace: Option<Duration>,
+    /// What is to be logged.
+    pub message: String,
 }
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -22,7 +22,7 @@
 };
 use mimosabridge_direct::{
     feed::Source,
-    node::{self, Settings},
+    node::{self, Reload, Settings},
     wire::Headers,
 };
 use tokio::task::LocalSet;
@@ -125,7 +125,7 @@
             headers: headers(),
             ready_path: "/ready",
             source: source(published.clone(), watches.clone()),
-            reload: Box::new(String::new),
+            reload: Box::new(|| Reload { grace: None, message: String::new() }),
         };
         tokio::task::spawn_local(async move {
             node::run(settings, 1).await.expect("the node starts");
