Let a connection linger that is closed while its caller still sends

Cause: the socket was closed with unread bytes of the request, or before they came. Either resets the connection. Ruled out: that the answer is not written; it was sent and the write side shut down before.

Connections whose requests were read as a whole are closed at once, as before.

--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -12,6 +12,7 @@
 };
 
 use super::{
+    linger::{Linger, Progress},
     serve::{Origin, serve},
     transport::{self, Transport},
 };
@@ -89,10 +90,11 @@
     // stays open longer after the caller is gone.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let state = open.state.clone();
+    let (state, progress) = (open.state.clone(), Rc::<Progress>::default());
+    let stream = Linger::new(Transport::new(stream, state.clone()), progress.clone());
     let service = service_fn(async |request: Request<Incoming>| {
         open.id.replace(request.headers().get(&shared.headers.request_id).cloned());
-        let answer = serve(shared.clone(), request, origin).await;
+        let answer = serve(shared.clone(), request, origin, &progress).await;
         state.on_answer(answer.headers().contains_key(header::CONNECTION));
         Ok::<_, Infallible>(answer)
     });
@@ -101,7 +103,7 @@
         // The timeout counts from the last answer, so it includes the idle time of the connection.
         .header_read_timeout(limits.idle_time + limits.head_time)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(Transport::new(stream, state.clone())), service);
+        .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // Requests that have already arrived are read before an idle connection is closed.
--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod drive;
 mod evidence;
 mod incoming;
+mod linger;
 mod relay;
 mod respond;
 mod serve;
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -1,12 +1,13 @@
 use std::{rc::Rc, time::Duration};
 
 use http::{HeaderValue, Request, header, request};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use mimosabridge::plan::Rule;
 
 use super::{
     drive::drive,
     incoming::{self, Query, Rejection},
+    linger::Progress,
     relay::NOT_SERVED,
     respond::{self, Answer},
 };
@@ -38,10 +39,15 @@
 }
 
 /// Serves one request.
-pub async fn serve(shared: Rc<Shared>, request: Request<Incoming>, origin: Origin) -> Answer {
+pub async fn serve(
+    shared: Rc<Shared>,
+    request: Request<Incoming>,
+    origin: Origin,
+    progress: &Progress,
+) -> Answer {
     let running = Running::new(shared.clone());
     let id = request.headers().get(&shared.headers.request_id).cloned();
-    let mut answer = match answer(&shared, request, origin).await {
+    let mut answer = match answer(&shared, request, origin, progress).await {
         Ok(answer) => answer,
         Err(mut answer) => {
             if origin == Origin::Node {
@@ -67,8 +73,10 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
     origin: Origin,
+    progress: &Progress,
 ) -> Result<Answer, Answer> {
     let (head, body) = request.into_parts();
+    progress.set_whole(body.is_end_stream());
     let id = id(&head, shared);
     let Some(plan) = shared.plan() else {
         events::REFUSED.emit(&[("id", &id), ("reason", &"no configuration is known yet")]);
@@ -89,6 +97,7 @@
         Ok(query) => query,
         Err(rejection) => return Err(reject(&id, plan.version(), Some(&rule), rejection)),
     };
+    progress.set_whole(true);
     let now = shared.now();
     let log_refused = |reason: &str| {
         events::REFUSED.emit(&[
