--- a/crates/core/src/reach/mod.rs
+++ b/crates/core/src/reach/mod.rs
@@ -4,12 +4,14 @@
 //! other nodes still reach them. Without this, each request finds out anew that no server answers.
 
 mod helper;
+mod latencies;
 #[allow(clippy::module_inception)]
 mod reach;
 mod relay;
 
 pub use self::{
     helper::Helper,
+    latencies::Latencies,
     reach::{Reach, Status},
     relay::{Ending, Relay, Step},
 };
--- a/crates/core/tests/direct/planned_stop.rs
+++ b/crates/core/tests/direct/planned_stop.rs
@@ -5,6 +5,7 @@
 use mimosabridge::{
     name::Name,
     plan::{Repeat, Rule, Target},
+    reach::Latencies,
     stop::{Load, Phase, Stop},
 };
 use rstest::rstest;
@@ -83,6 +84,19 @@
     assert!(!is_admitted(7_000));
 }
 
+/// Guards against requests that a node takes late in its stop though others, which serve them in its
+/// place, need longer.
+#[test]
+fn late_relay_taken() {
+    let mut relayed = Latencies::new();
+    relayed.record(&Name::new("one"), Duration::from_millis(1_300), at(0));
+    let rule = Rule { repeat: Repeat::Once, timeout: Duration::from_secs(10), ..one() };
+    let longest = relayed.longest(&rule.name);
+    let is_admitted = |now| stop().admits(&rule, longest, rule.timeout, at(now));
+    assert!(is_admitted(2_750) && !is_admitted(2_850));
+    assert!(relayed.longest(&Name::new("other")).is_zero());
+}
+
 /// A refused caller returns once the load balancer sends it elsewhere.
 #[test]
 fn refused_until_elsewhere() {
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -48,6 +48,7 @@
                 record(shared, rule, outgoing, &helper, ending, answer.as_ref(), now);
                 if let Some(answer) = &answer {
                     record_leaving(shared, answer);
+                    record_latency(shared, rule, answer, now);
                 }
                 if !matches!(ending, Ending::Answered | Ending::Refused) {
                     shared.state.borrow_mut().reach.on_refusal(&helper.name, shared.now());
@@ -127,6 +128,14 @@
     }
 }
 
+/// Records for how long a request took that the other node served.
+fn record_latency(shared: &Shared, rule: &Rule, answer: &Response<Bytes>, began: Time) {
+    if answer.status().is_success() {
+        let now = shared.now();
+        shared.state.borrow_mut().relayed.record(&rule.name, now.since(began), now);
+    }
+}
+
 fn record(
     shared: &Shared,
     rule: &Rule,
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -134,8 +134,9 @@
     let now = shared.now();
     let state = &mut *shared.state.borrow_mut();
     let stop = state.stop?;
-    let longest = state.balancer.longest_latency(&query.rule);
-    let is_admitted = stop.admits(&query.rule, longest, query.caller_timeout, now);
+    let rule = &query.rule;
+    let longest = state.balancer.longest_latency(rule).max(state.relayed.longest(&rule.name));
+    let is_admitted = stop.admits(rule, longest, query.caller_timeout, now);
     (!is_admitted).then(|| stop.retry_after(now))
 }
 
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -15,7 +15,7 @@
     fingerprint::Fingerprint,
     plan::Plan,
     quarantine::{Detector, List, Sign},
-    reach::{Reach, Status},
+    reach::{Latencies, Reach, Status},
     stop::{Load, Stop},
     time::Time,
 };
@@ -61,6 +61,8 @@
     pub mirror: Mirror,
     /// Whether this node reaches the servers.
     pub reach: Reach,
+    /// How long requests take that other nodes serve.
+    pub relayed: Latencies,
     /// The contents that crash servers.
     pub quarantine: List,
     /// The lost attempts that are not yet known to be crashes or not.
@@ -94,6 +96,7 @@
                 balancer: Balancer::new(settings, seed),
                 mirror: Mirror::new(),
                 reach: Reach::new(clock.now()),
+                relayed: Latencies::new(),
                 quarantine: List::new(),
                 crash_detector: Detector::new(),
                 unpushed_contents: BTreeSet::new(),
