Ask another node if the one asked has closed the connection

What callers saw: a stranded node passes a request on over a kept connection that the other node closes in its planned stop; with the notice of the close (408) its caller would be told to come back, before it the caller got 502 though nothing had run.

Ruled out: an answer 408 of that node's own, which names the request.

Change: a 408 that names no request counts as not served, so that another node is asked. Decided by reach::Ending::of_answer; the rest of the classification moves there unchanged.

Measured: close_notice_passed is of the new function and was not run before.

--- a/crates/core/src/reach/relay.rs
+++ b/crates/core/src/reach/relay.rs
@@ -27,6 +27,20 @@
     Silent,
 }
 
+impl Ending {
+    /// Classifies an answer with an HTTP status. `is_marked` says that the node calls the request not
+    /// served, and `is_named` that the answer names the request.
+    pub fn of_answer(status: u16, is_marked: bool, is_named: bool) -> Ending {
+        match status {
+            _ if is_marked => Ending::NotServed,
+            // A planned stop has closed the connection before the node read the request.
+            408 if !is_named => Ending::NotServed,
+            503 => Ending::Refused,
+            _ => Ending::Answered,
+        }
+    }
+}
+
 /// What to do next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Step {
--- a/crates/core/tests/direct/relayed_requests.rs
+++ b/crates/core/tests/direct/relayed_requests.rs
@@ -27,3 +27,21 @@
 fn broken_not_repeated() {
     assert_eq!(Relay::new().on_end(Ending::Broken), Step::Fail(Failure::Broken));
 }
+
+/// Guards against a caller that is told to come back though another node can serve its request: the
+/// first one closed the connection in a planned stop.
+#[rstest]
+#[case::closed(408, false, false, Ending::NotServed)]
+#[case::named(408, false, true, Ending::Answered)]
+#[case::not_served(503, true, true, Ending::NotServed)]
+#[case::refused(503, false, true, Ending::Refused)]
+#[case::earlier_build(503, false, false, Ending::Refused)]
+#[case::answered(200, false, false, Ending::Answered)]
+fn close_notice_passed(
+    #[case] status: u16,
+    #[case] is_marked: bool,
+    #[case] is_named: bool,
+    #[case] expected: Ending,
+) {
+    assert_eq!(Ending::of_answer(status, is_marked, is_named), expected);
+}
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::Full;
 use mimosabridge::{
     name::Name,
@@ -76,11 +76,14 @@
     match sent {
         None => (Ending::Silent, None),
         Some(Ok(answer)) if identity(&answer) == Identity::Other => (Ending::Broken, None),
-        Some(Ok(answer)) if answer.headers().contains_key(&NOT_SERVED) => (Ending::NotServed, None),
-        Some(Ok(answer)) if answer.status() == StatusCode::SERVICE_UNAVAILABLE => {
-            (Ending::Refused, Some(answer))
+        Some(Ok(answer)) => {
+            let is_marked = answer.headers().contains_key(&NOT_SERVED);
+            let is_named = identity(&answer) == Identity::Own;
+            match Ending::of_answer(answer.status().as_u16(), is_marked, is_named) {
+                ending @ (Ending::Answered | Ending::Refused) => (ending, Some(answer)),
+                ending => (ending, None),
+            }
         }
-        Some(Ok(answer)) => (Ending::Answered, Some(answer)),
         Some(Err(LinkError::Exchange { source })) if !source.is_canceled() => {
             (Ending::Broken, None)
         }
