Run no requests at a home that no longer waits for them

What callers saw: a request with a ticket that another entry submitted to its home, after the home had waited for the requests that ran, was run by the servers and got no answer: the home's process ended half a second later. Its caller got "unknown".

Cause: Home::drain waited until nothing ran, but took requests for as long as the node answered other nodes. It also waited without end while such requests kept coming.

Ruled out: requests of callers of the home itself (its listener is closed and its connections are waited for), and answers of requests that ran when the wait began (tickets::home_stopped, planned_stop::entry_stops).

Change: a home that begins to wait closes its table. Running ones are answered.

--- a/crates/core/src/outcome/refusal.rs
+++ b/crates/core/src/outcome/refusal.rs
@@ -38,6 +38,8 @@
     TicketMissing,
     /// The ticket belongs to another request.
     TicketTaken,
+    /// The home of the ticket is stopping and runs no new requests.
+    HomeLeaving,
     /// The gate has no contact with the rest of the system and cannot know whether it may send.
     Isolated,
 }
@@ -88,6 +90,9 @@
             Refusal::TicketTaken => {
                 "the ticket names another request; take a new one with POST /v1/tickets"
             }
+            Refusal::HomeLeaving => {
+                "the home of the ticket is stopping; take a new one with POST /v1/tickets"
+            }
             Refusal::Isolated => "the gate has lost contact with the rest of the system",
         })
     }
--- a/crates/core/src/ticket/decision.rs
+++ b/crates/core/src/ticket/decision.rs
@@ -13,6 +13,8 @@
     Done(Arc<Answer>),
     /// Refuse the request: the ticket was used for another one.
     OtherRequest,
+    /// Refuse the request: it has not been run, and its home runs no more.
+    Closed,
     /// It is unknown whether the request was run: the ticket has expired or was issued by another
     /// instance of the process.
     Unknown,
--- a/crates/core/src/ticket/table.rs
+++ b/crates/core/src/ticket/table.rs
@@ -14,6 +14,7 @@
     capacity: usize,
     next_serial: u64,
     tickets: BTreeMap<u64, Entry>,
+    is_closed: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -42,7 +43,13 @@
     /// A ticket is kept for `ttl` after it was issued, and again for `ttl` after its request has
     /// been run. The table holds at most `capacity` tickets.
     pub fn new(home: Name, boot: u64, ttl: Duration, capacity: usize) -> Table {
-        Table { home, boot, ttl, capacity, next_serial: 1, tickets: BTreeMap::new() }
+        let tickets = BTreeMap::new();
+        Table { home, boot, ttl, capacity, next_serial: 1, tickets, is_closed: false }
+    }
+
+    /// Runs no more requests. Those that are running are finished.
+    pub fn close(&mut self) {
+        self.is_closed = true;
     }
 
     /// Issues a ticket. Fails with [`Full`] if the table has no capacity left for it.
@@ -69,6 +76,7 @@
         let Some(entry) = self.tickets.get_mut(&ticket.serial) else { return Decision::Unknown };
         match &entry.state {
             State::Issued if now.since(entry.since) >= ttl => Decision::Unknown,
+            State::Issued if self.is_closed => Decision::Closed,
             State::Issued => {
                 entry.state = State::Running(request);
                 Decision::Run
--- a/crates/core/tests/features/tickets.rs
+++ b/crates/core/tests/features/tickets.rs
@@ -36,6 +36,21 @@
     }
 }
 
+/// Guards against a request that begins at a home that has stopped waiting for requests.
+#[test]
+fn closed_home_runs() {
+    let mut table = table(1);
+    let [running, done, unused] = [(); 3].map(|()| table.issue(NOW).expect("there is room"));
+    for ticket in [&running, &done] {
+        assert!(matches!(table.begin(ticket, content("a"), NOW), Decision::Run));
+    }
+    table.finish(done.serial, Arc::new(Answer::unknown()), NOW);
+    table.close();
+    assert!(matches!(table.begin(&running, content("a"), NOW), Decision::Running));
+    assert!(matches!(table.begin(&done, content("a"), NOW), Decision::Done(_)));
+    assert!(matches!(table.begin(&unused, content("a"), NOW), Decision::Closed));
+}
+
 #[test]
 fn other_request() {
     let mut table = table(1);
--- a/crates/node/src/entry/home.rs
+++ b/crates/node/src/entry/home.rs
@@ -53,8 +53,9 @@
         self.table().running()
     }
 
-    /// Waits until no request is running.
+    /// Refuses requests that have not begun, and waits until no request is running.
     pub async fn drain(&self) {
+        self.table().close();
         loop {
             let finished = self.finished.notified();
             if self.running() == 0 {
@@ -104,6 +105,7 @@
             Decision::Running => self.wait(&ticket, until).await,
             Decision::Done(answer) => (*answer).clone(),
             Decision::OtherRequest => Answer::not_run(Refusal::TicketTaken),
+            Decision::Closed => Answer::not_run(Refusal::HomeLeaving),
             Decision::Unknown => Answer::unknown(),
         }
     }
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -168,6 +168,7 @@
         Refusal::NotConfigured => "not_configured",
         Refusal::TicketMissing => "ticket_missing",
         Refusal::TicketTaken => "ticket_taken",
+        Refusal::HomeLeaving => "home_leaving",
         Refusal::Isolated => "isolated",
     }
 }
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -11,5 +11,6 @@
 mod queries;
 mod server_leaves;
 mod silent_connections;
+mod stopping_nodes;
 mod tickets;
 mod traces;
--- /dev/null
+++ b/crates/node/tests/fleet/stopping_nodes.rs
@@ -0,0 +1,71 @@
+//! Calls to a node that stops, from nodes that don't know it yet.
+
+use std::{pin::pin, time::Duration};
+
+use futures_util::future::{Either, select};
+use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
+use mimosabridge::{name::Name, query::Verdict};
+use mimosabridge_node::{
+    entry::{HomeClient, Request},
+    node::Node,
+};
+use mimosabridge_standin::server::Spec;
+use serde_json::value::RawValue;
+use tokio::net::TcpStream;
+
+use crate::env::Fleet;
+
+/// How long a server works for a request that must not outlast a stop: longer than a node that has
+/// nothing else to do takes to end.
+const LONG_WORK: Duration = Duration::from_millis(1_500);
+
+/// Guards against a request that a home runs and doesn't answer, since it ends meanwhile.
+#[tokio::test]
+async fn late_ticket_cut() {
+    let spec = Spec { service_time: LONG_WORK, cold_factor: 1.0, straggle: 0.0, ..Spec::new() };
+    let mut fleet = Fleet::start(spec).await;
+    let ticket = fleet.ticket("entry-a").await.parse().expect("the ticket is valid");
+    let home = fleet.nodes.remove("entry-a").expect("it was started");
+    let http = home.http_address().expect("the node is an entry");
+    let client = connect(&home).await;
+    let submit = async {
+        // The entry closes this address when it begins to wait for the requests that run.
+        while TcpStream::connect(http).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        HomeClient::submit(&client, ticket, request()).await
+    };
+    // The process ends with the stop.
+    let answer = match select(pin!(submit), pin!(home.stop())).await {
+        Either::Left((answer, stop)) => {
+            stop.await;
+            answer.ok()
+        }
+        Either::Right(((), _)) => None,
+    };
+    let started = fleet.total(|it| it.started);
+    let verdict = answer.map(|it| it.verdict);
+    assert!(
+        started == 0 && verdict == Some(Verdict::NotRun) || verdict == Some(Verdict::Complete),
+        "{started} parts ran, and the answer was {verdict:?}"
+    );
+}
+
+async fn connect(node: &Node) -> WsClient {
+    let url = format!("ws://{}", node.record().rpc);
+    WsClientBuilder::new().build(url).await.expect("the node accepts connections")
+}
+
+fn request() -> Request {
+    Request {
+        rule: Name::from("rule"),
+        query: query(),
+        budget: None,
+        idempotent: false,
+        trace: None,
+    }
+}
+
+fn query() -> Box<RawValue> {
+    RawValue::from_string("{}".to_owned()).expect("the query is JSON")
+}
