Refuse calls to a gate that has stopped

What callers saw: a call that reached a gate after its last task, from an entry that didn't know of the stop, was accepted and got no item until the connection closed, up to half a second later. The entry took it for lost: a request that may run once only got "unknown" though it ran nowhere.

Cause: the gate's actor ended with its last task, while the node went on to accept calls. Messages to the actor were dropped.

Ruled out: calls that arrive while tasks run (the gate refuses them as gate_leaving), and items of tasks that end at the stop (planned_stop::gate_stops).

Change: an actor that ends refuses the calls in its inbox, and a call that comes later is rejected before it is accepted, which entries already read as gate_leaving.

--- a/crates/node/src/gate/actor.rs
+++ b/crates/node/src/gate/actor.rs
@@ -116,6 +116,7 @@
                 Ok(()) = self.parts.view.changed() => self.on_view(),
             }
             if self.has_stopped() {
+                self.refuse_rest();
                 return;
             }
         }
@@ -131,6 +132,14 @@
         true
     }
 
+    /// Refuses the calls that have arrived since, and makes later ones fail.
+    fn refuse_rest(&mut self) {
+        self.inbox.close();
+        while let Ok(message) = self.inbox.try_recv() {
+            self.on_message(message);
+        }
+    }
+
     fn on_tick(&mut self, tick: timer::Tick) {
         let now = tick.now;
         if tick.late >= self.parts.settings.pause_limit {
--- a/crates/node/src/gate/server.rs
+++ b/crates/node/src/gate/server.rs
@@ -1,8 +1,12 @@
 use jsonrpsee::{
     PendingSubscriptionSink, SubscriptionMessage, SubscriptionSink,
     core::{RpcResult, SubscriptionResult, async_trait, to_json_raw_value},
+    types::{ErrorObject, error::CALL_EXECUTION_FAILED_CODE},
+};
+use mimosabridge::{
+    outcome::Refusal,
+    wire::{Call, Item},
 };
-use mimosabridge::wire::{Call, Item};
 use tokio::sync::mpsc;
 
 use super::{GateServer, Message};
@@ -25,8 +29,20 @@
         let id = call.id;
         let expected = call.subs.len();
         let (sender, items) = mpsc::unbounded_channel();
-        let sink = pending.accept().await?;
-        let _ = self.actor.send(Message::Call(call, sender));
+        if self.actor.send(Message::Call(call, sender)).is_err() {
+            let refusal = Refusal::GateLeaving.to_string();
+            pending
+                .reject(ErrorObject::owned::<()>(CALL_EXECUTION_FAILED_CODE, refusal, None))
+                .await;
+            return Ok(());
+        }
+        let sink = match pending.accept().await {
+            Ok(sink) => sink,
+            Err(error) => {
+                let _ = self.actor.send(Message::Cancel(id, Vec::new()));
+                return Err(error.into());
+            }
+        };
         if !forward(&sink, items, expected).await {
             let _ = self.actor.send(Message::Cancel(id, Vec::new()));
         }
--- a/crates/node/tests/fleet/stopping_nodes.rs
+++ b/crates/node/tests/fleet/stopping_nodes.rs
@@ -2,11 +2,22 @@
 
 use std::{pin::pin, time::Duration};
 
-use futures_util::future::{Either, select};
-use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
-use mimosabridge::{name::Name, query::Verdict};
+use futures_util::future::{Either, join, select};
+use jsonrpsee::{
+    core::client::Error,
+    ws_client::{WsClient, WsClientBuilder},
+};
+use mimosabridge::{
+    config::Class,
+    fingerprint::Fingerprint,
+    name::Name,
+    outcome::{Outcome, Refusal},
+    query::Verdict,
+    wire::{Call, SubRequest},
+};
 use mimosabridge_node::{
     entry::{HomeClient, Request},
+    gate::GateClient,
     node::Node,
 };
 use mimosabridge_standin::server::Spec;
@@ -51,6 +62,37 @@
     );
 }
 
+/// Guards against a call to a gate without work that is taken and ends without a word.
+#[tokio::test]
+async fn late_call_dropped() {
+    let mut fleet = Fleet::start(Spec::new()).await;
+    let gate = fleet.nodes.remove("gate-a").expect("it was started");
+    let client = connect(&gate).await;
+    let calls = async {
+        let mut refused = 0;
+        for id in 0.. {
+            match GateClient::run(&client, call(id)).await {
+                Ok(mut items) => match items.next().await {
+                    Some(Ok(items)) => {
+                        let is_refused =
+                            |it: &Outcome| matches!(it, Outcome::Refused(Refusal::GateLeaving));
+                        refused += items.iter().filter(|it| is_refused(&it.outcome)).count();
+                    }
+                    Some(Err(error)) => panic!("the items can't be read: {error}"),
+                    // The connection has been closed.
+                    None => break,
+                },
+                Err(Error::Call(_)) => refused += 1,
+                Err(_) => break,
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        refused
+    };
+    let (refused, ()) = join(calls, gate.stop()).await;
+    assert!(refused > 0, "the gate takes calls while it stops, and drops them");
+}
+
 async fn connect(node: &Node) -> WsClient {
     let url = format!("ws://{}", node.record().rpc);
     WsClientBuilder::new().build(url).await.expect("the node accepts connections")
@@ -66,6 +108,22 @@
     }
 }
 
+fn call(id: u64) -> Call {
+    let server = Name::from("a1");
+    let sub = SubRequest { attempt: 0, server, shard: Name::from("shard1"), is_repeat: false };
+    Call {
+        id,
+        class: Class::Interactive,
+        content: Fingerprint::new(&Name::from("rule"), b"{}"),
+        idempotent: true,
+        budget_micros: 1_000_000,
+        snapshot: 1,
+        query: query(),
+        trace: None,
+        subs: vec![sub],
+    }
+}
+
 fn query() -> Box<RawValue> {
     RawValue::from_string("{}".to_owned()).expect("the query is JSON")
 }
