Bound the wait of a stopping entry for its callers

What callers saw: a stop of an entry waited without end for a caller that had sent half a request, so that the process was killed whenever its supervisor lost patience, with whatever it then still did; a gate in the same process was never told to stop.

Cause: the HTTP server was waited for without a bound, and a request whose body came during the stop had the time of its rule from then on.

Ruled out: sub-requests at a gate that stops (each has a deadline), and requests that run when the stop begins (planned_stop::entry_stops).

The stop waits for connections until two seconds after that. Requests with tickets of other homes have that bound too.

--- a/crates/node/src/entry/coordinator.rs
+++ b/crates/node/src/entry/coordinator.rs
@@ -1,12 +1,14 @@
 use std::{
     collections::BTreeMap,
     sync::{
-        Arc, Mutex, MutexGuard,
+        Arc, Mutex, MutexGuard, OnceLock,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 use mimosabridge::{
+    config::Rule,
     fingerprint::Fingerprint,
     name::Name,
     outcome::{Hint, Outcome, Refusal},
@@ -68,6 +70,9 @@
     state: Mutex<State>,
     next_call: AtomicU64,
     stopping: AtomicBool,
+    /// The latest deadline of all requests so far, in microseconds.
+    latest_deadline: AtomicU64,
+    answers_due: OnceLock<Time>,
 }
 
 impl Coordinator {
@@ -86,6 +91,8 @@
             state: Mutex::new(State::new(parts.data_centre, parts.boot, parts.placement)),
             next_call: AtomicU64::new(parts.boot << 24),
             stopping: AtomicBool::new(false),
+            latest_deadline: AtomicU64::new(0),
+            answers_due: OnceLock::new(),
         }
     }
 
@@ -108,6 +115,27 @@
         self.stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Returns when the last deadline of all requests is, in a planned stop. Requests that begin later
+    /// have no more time.
+    pub fn answers_due(&self) -> Time {
+        let latest = Time::from_micros(self.latest_deadline.load(Ordering::Relaxed));
+        let due = latest.max(self.timer.now() + self.longest_deadline());
+        *self.answers_due.get_or_init(|| due)
+    }
+
+    /// Returns how long a request of any rule may take.
+    pub fn longest_deadline(&self) -> Duration {
+        self.view().set.rules.values().map(Rule::deadline).max().unwrap_or_default()
+    }
+
+    /// Returns the deadline of a request that begins now.
+    pub fn deadline(&self, budget: Duration) -> Time {
+        let deadline = self.timer.now() + budget;
+        let deadline = self.answers_due.get().map_or(deadline, |it| deadline.min(*it));
+        self.latest_deadline.fetch_max(deadline.as_micros(), Ordering::Relaxed);
+        deadline
+    }
+
     /// Applies each change of the fleet view, until the view's sender is dropped.
     pub async fn follow(self: Arc<Self>) {
         let mut view = self.view.clone();
--- a/crates/node/src/entry/home.rs
+++ b/crates/node/src/entry/home.rs
@@ -70,7 +70,12 @@
         if ticket.home == self.name {
             return self.submit_here(ticket, request).await;
         }
-        let timeout = request.budget.unwrap_or(self.deadline(&request)) + ANSWER_GRACE;
+        let budget = request.budget.unwrap_or(self.deadline(&request));
+        let budget = budget.min(self.coordinator.longest_deadline());
+        let deadline = self.coordinator.deadline(budget);
+        let budget = self.coordinator.timer.now().until(deadline);
+        let request = Request { budget: Some(budget), ..request };
+        let timeout = budget + ANSWER_GRACE;
         let Some(link) = self.coordinator.links.get(&ticket.home, &self.coordinator.view()) else {
             return Answer::unknown();
         };
--- a/crates/node/src/entry/session.rs
+++ b/crates/node/src/entry/session.rs
@@ -47,7 +47,7 @@
         view: Arc<View>,
     ) -> Session {
         let budget = request.budget.unwrap_or(rule.deadline()).min(rule.deadline());
-        let deadline = coordinator.timer.now() + budget;
+        let deadline = coordinator.deadline(budget);
         let mut span =
             coordinator.tracer.start("query", SpanKind::Server, request.trace.as_deref());
         span.set("rule", rule.name.to_string());
--- a/crates/node/src/node/runner.rs
+++ b/crates/node/src/node/runner.rs
@@ -42,6 +42,10 @@
 /// How long a stopping node still answers other nodes after its own work is done.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(500);
 
+/// How long after the last deadline callers may take to receive their answers. Those that use
+/// tickets of other entries are answered up to a second after it.
+const LAST_ANSWERS_TIME: Duration = Duration::from_secs(2);
+
 /// A running node.
 pub struct Node {
     name: Name,
@@ -225,8 +229,12 @@
         let _ = left.await;
         let _ = self.timer.at(self.timer.now() + self.drain).await;
         if let Some(entry) = self.entry {
+            let due = entry.coordinator.answers_due();
             entry.stopping.cancel();
-            let _ = entry.task.await;
+            tokio::select! {
+                _ = entry.task => {}
+                _ = self.timer.at(due + LAST_ANSWERS_TIME) => {}
+            }
             entry.home.drain().await;
         }
         if let Some(actor) = self.gate {
--- a/crates/node/tests/fleet/stopping_nodes.rs
+++ b/crates/node/tests/fleet/stopping_nodes.rs
@@ -1,4 +1,4 @@
-//! Calls to a node that stops, from nodes that don't know it yet.
+//! Calls to a node that stops, from nodes that don't know it yet, and callers that don't finish.
 
 use std::{pin::pin, time::Duration};
 
@@ -22,7 +22,10 @@
 };
 use mimosabridge_standin::server::Spec;
 use serde_json::value::RawValue;
-use tokio::net::TcpStream;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use crate::env::Fleet;
 
@@ -93,6 +96,61 @@
     assert!(refused > 0, "the gate takes calls while it stops, and drops them");
 }
 
+/// Guards against a stop that waits without end for a caller that doesn't finish its request.
+#[tokio::test]
+async fn half_request_awaited() {
+    let mut fleet = Fleet::start(Spec::new()).await;
+    let next = fleet.change(|set| {
+        set.rules.get_mut("rule").expect("the fixture has it").deadline_ms = 500;
+    });
+    fleet.wait_in_force(next.stamp).await;
+    let entry = fleet.nodes.remove("entry-a").expect("it was started");
+    let caller = TcpStream::connect(entry.http_address().expect("the node is an entry"));
+    let mut caller = caller.await.expect("the entry accepts connections");
+    let half = caller.write_all(b"POST /v1/query HTTP/1.1\r\n").await;
+    half.expect("the connection is open");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let stop = tokio::time::timeout(Duration::from_secs(10), entry.stop()).await;
+    assert!(stop.is_ok(), "the entry still waits for its caller");
+}
+
+/// Guards against a request whose body comes during a stop and that isn't answered before its end.
+#[tokio::test]
+async fn late_body_cut() {
+    let spec = Spec { service_time: LONG_WORK, cold_factor: 1.0, straggle: 0.0, ..Spec::new() };
+    let mut fleet = Fleet::start(spec).await;
+    let next = fleet.change(|set| {
+        set.rules.get_mut("rule").expect("the fixture has it").deadline_ms = 500;
+    });
+    fleet.wait_in_force(next.stamp).await;
+    let entry = fleet.nodes.remove("entry-a").expect("it was started");
+    let http = entry.http_address().expect("the node is an entry");
+    let caller = async {
+        let mut caller = TcpStream::connect(http).await?;
+        let body = r#"{"rule":"rule","query":{}}"#;
+        let head =
+            format!("POST /v1/query HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n", body.len());
+        caller.write_all(head.as_bytes()).await?;
+        // The entry closes this address when it begins to wait for the requests that run.
+        while TcpStream::connect(http).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        caller.write_all(body.as_bytes()).await?;
+        let mut answer = String::new();
+        caller.read_to_string(&mut answer).await?;
+        std::io::Result::Ok(answer)
+    };
+    let answer = match select(pin!(caller), pin!(entry.stop())).await {
+        Either::Left((answer, stop)) => {
+            stop.await;
+            answer.expect("the connection is not reset")
+        }
+        Either::Right(((), _)) => panic!("the entry ended before it answered"),
+    };
+    assert!(answer.starts_with("HTTP/1.1 5") && answer.ends_with('}'), "{answer}");
+}
+
 async fn connect(node: &Node) -> WsClient {
     let url = format!("ws://{}", node.record().rpc);
     WsClientBuilder::new().build(url).await.expect("the node accepts connections")
