--- a/crates/core/src/reach/reach.rs
+++ b/crates/core/src/reach/reach.rs
@@ -24,6 +24,9 @@
 /// How long a node that could not help is left alone.
 const HELPER_BACKOFF: Duration = Duration::from_secs(1);
 
+/// How long a node counts as stopping after it has said so, at least as long as a planned stop takes.
+const LEAVING_TIME: Duration = Duration::from_secs(10);
+
 /// How long this node's view of servers is not told to others after the last answer of one: a node
 /// that is being cut off sees all of them fail.
 const MAX_REPORT_SILENCE: Duration = Duration::from_millis(250);
@@ -48,6 +51,8 @@
     helpers: Vec<Helper>,
     /// Until when nodes that could not help are left alone.
     avoided: HashMap<Name, Time>,
+    /// Until when nodes count as stopping.
+    leaving: HashMap<Name, Time>,
     lost_since: Option<Time>,
 }
 
@@ -159,6 +164,14 @@
         self.avoided.insert(helper.clone(), now + HELPER_BACKOFF);
     }
 
+    /// Records whether a node says in its answer that it stops.
+    pub fn on_helped(&mut self, helper: &Name, is_leaving: bool, now: Time) {
+        self.leaving.retain(|name, it| *it > now && name != helper);
+        if is_leaving {
+            self.leaving.insert(helper.clone(), now + LEAVING_TIME);
+        }
+    }
+
     /// Returns what this node knows of its reach.
     pub fn status(&self, now: Time) -> Status {
         match self.lost_since {
@@ -168,12 +181,14 @@
         }
     }
 
-    /// Returns a node that can serve requests in the place of this one, while it is stranded: one of
-    /// the same data centre if there is any.
+    /// Returns a node that can serve requests in the place of this one, while it is stranded: one that
+    /// does not stop if there is any, then one of the same data centre. Requests that a node gets while
+    /// it closes its connections are lost.
     pub fn helper(&self, rng: &mut impl Rng, now: Time) -> Option<&Helper> {
         self.lost_since?;
-        let near = self.available(now).filter(|it| it.is_near).choose(rng);
-        near.or_else(|| self.available(now).choose(rng))
+        let rank = |it: &Helper| (self.is_leaving(it, now), !it.is_near);
+        let best = self.available(now).map(rank).min()?;
+        self.available(now).filter(|it| rank(it) == best).choose(rng)
     }
 
     /// Returns for how long no server has answered.
@@ -181,6 +196,10 @@
         now.since(self.answered.unwrap_or(self.started))
     }
 
+    fn is_leaving(&self, helper: &Helper, now: Time) -> bool {
+        self.leaving.get(&helper.name).is_some_and(|it| *it > now)
+    }
+
     fn available(&self, now: Time) -> impl Iterator<Item = &Helper> {
         let is_avoided = move |it: &Helper| self.avoided.get(&it.name).is_some_and(|it| *it > now);
         self.helpers.iter().filter(move |it| !is_avoided(it))
--- a/crates/core/tests/direct/lost_servers.rs
+++ b/crates/core/tests/direct/lost_servers.rs
@@ -126,6 +126,24 @@
     assert_eq!(reach.helper(&mut rng, at(1_500)), Some(&helper("near", true)), "asked again");
 }
 
+/// Guards against requests that meet the closed connections of a node that stops, though others help.
+#[test]
+fn leaving_helper_last() {
+    let (mut reach, mut rng) = (Reach::new(at(0)), StdRng::seed_from_u64(1));
+    let (near, far) = (helper("near", true), helper("far", false));
+    reach.set_helpers(vec![far.clone(), near.clone()]);
+    lose(&mut reach, 500);
+    reach.on_helped(&near.name, true, at(600));
+    assert_eq!(reach.helper(&mut rng, at(600)), Some(&far));
+    reach.on_refusal(&far.name, at(600));
+    assert_eq!(reach.helper(&mut rng, at(600)), Some(&near), "it still serves");
+    reach.on_helped(&far.name, true, at(1_700));
+    assert_eq!(reach.helper(&mut rng, at(1_700)), Some(&near), "the near one of two that stop");
+    reach.on_helped(&far.name, false, at(1_800));
+    assert_eq!(reach.helper(&mut rng, at(1_800)), Some(&far), "its successor has answered");
+    assert_eq!(reach.helper(&mut rng, at(10_600)), Some(&near), "its stop is over");
+}
+
 /// A node that is being cut off sees all servers fail, and does not know yet that it is.
 #[test]
 fn no_witness() {
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -17,7 +17,7 @@
     backend::{Identity, Link, LinkError, Notice, Outgoing},
     events,
     node::Shared,
-    wire::Headers,
+    wire::{self, Headers},
 };
 
 /// Marks the answer of a node that did not serve a relayed request, which has not run.
@@ -110,6 +110,11 @@
     let left = HeaderValue::from(left.as_millis().max(1) as u64);
     request.headers_mut().insert(&shared.headers.deadline, left);
     let answer = link.exchange(request).await?;
+    let is_leaving = wire::closes(answer.headers());
+    shared.state.borrow_mut().reach.on_helped(&helper.name, is_leaving, shared.now());
+    if is_leaving {
+        shared.relay_pool.close_all(&helper.name);
+    }
     let id = &outgoing.id;
     if Identity::new(answer.headers(), &shared.headers.request_id, id) != Identity::Other {
         shared.relay_pool.keep(&helper.name, link, id, shared.now()).await;
--- a/crates/direct/src/wire/mod.rs
+++ b/crates/direct/src/wire/mod.rs
@@ -3,4 +3,7 @@
 mod headers;
 mod hops;
 
-pub use self::{headers::Headers, hops::strip};
+pub use self::{
+    headers::Headers,
+    hops::{closes, strip},
+};
