Have the system hold the rest of an answer as the process ends

Cause: the system holds only some tens of KB of an answer for a connection with the segments of an Ethernet link; the rest is in the process and ends with it. On a loopback the system takes all, which is why this was not seen before.

Ruled out: that the answer comes too late; the process has it 1.2 s before its end. Weighed: to end later (at most 6 % of the grace time, which a caller that reads for 1.9 s doesn't notice), and to refuse such requests (neither the size of the answer nor the speed of the caller is known before).

Change: once a stopping node closes its connections, one whose answer is not taken whole gets a send buffer as long as the longest answer. The system goes on sending after the end of the process. What it allows at most is the system's setting (net.core.wmem_max).

--- a/crates/direct/src/front/transport.rs
+++ b/crates/direct/src/front/transport.rs
@@ -12,11 +12,17 @@
     net::TcpStream,
 };
 
+use crate::events;
+
 /// Tells a caller whose request crosses the close of its connection that it has not run (RFC 9110,
 /// section 15.5.9).
 const CLOSE_NOTICE: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// The send buffer of a connection whose answer is not sent yet while the node stops: as long as the
+/// longest answer.
+const LAST_SEND_BUFFER_BYTES: usize = 1_024 * 1_024;
+
 /// A connection as the HTTP server uses it.
 pub struct Transport {
     stream: TcpStream,
@@ -29,6 +35,7 @@
     is_closing: Cell<bool>,
     is_close_announced: Cell<bool>,
     is_write_blocked: Cell<bool>,
+    is_send_buffer_raised: Cell<bool>,
 }
 
 impl State {
@@ -69,6 +76,24 @@
     fn on_write(&self, written: &Poll<io::Result<usize>>, wanted: usize) {
         let is_complete = matches!(written, Poll::Ready(Ok(count)) if *count == wanted);
         self.state.is_write_blocked.set(!is_complete);
+        if written.is_pending() && self.state.is_closing.get() {
+            self.raise_send_buffer();
+        }
+    }
+
+    /// Has the system hold as much of an answer as it can: it sends that also after the end of the process.
+    /// The runtime is notified if there is room now.
+    fn raise_send_buffer(&self) {
+        if self.state.is_send_buffer_raised.replace(true) {
+            return;
+        }
+        let socket = SockRef::from(&self.stream);
+        let is_small = |bytes| bytes < LAST_SEND_BUFFER_BYTES;
+        if socket.send_buffer_size().is_ok_and(is_small)
+            && let Err(error) = socket.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)
+        {
+            events::TROUBLE.emit(&[("operation", &"raise a send buffer"), ("error", &error)]);
+        }
     }
 }
 
