Close idle connections without lingering

Cause: a connection without an answer under way lingered if a part of the next request had arrived, though no answer can be lost.

--- a/crates/direct/src/front/linger.rs
+++ b/crates/direct/src/front/linger.rs
@@ -107,10 +107,14 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let Linger { stream, progress, end, left, .. } = &mut *self;
+        let Linger { stream, progress, has_sent, end, left } = &mut *self;
         if end.is_none() {
             ready!(Pin::new(&mut *stream).poll_shutdown(context))?;
         }
+        if !*has_sent && !progress.body_comes.get() {
+            // No answer can be lost.
+            return Poll::Ready(Ok(()));
+        }
         let end = end.get_or_insert_with(|| Box::pin(sleep(LINGER_TIMEOUT)));
         let mut bytes = [0; BUFFER_BYTES];
         while *left > 0 {
