Send the rest of the answers until just before the process is killed

What callers saw: an answer that was being sent, or was made and not yet written, was cut when the process ended at 0.94 of the grace time, though it is killed only at its end. Two loads show it: a caller that reads slowly, with three answers of 1 MB of which the system's buffers take two and a part, and a process without processor time from 0.89 to 0.945 of the grace time, with 300 answers due at 0.9 (239 cut).

Cause: the end at 0.94 left the time until the kill unused. Ruled out: the buffers of the system, which still send after the process has ended; the cut bytes were in the process.

Change: after 0.94 the node tells the others that it leaves and sends the rest of its answers. It ends as soon as nothing is left, and 150 ms before the kill at the latest (at 0.94 if the grace time is short). That moment is waited for by itself, not by the tick of 50 ms.

--- a/crates/core/src/stop/phase.rs
+++ b/crates/core/src/stop/phase.rs
@@ -6,6 +6,8 @@
     Leaving,
     /// The node accepts no new connections and closes idle ones.
     Closing,
+    /// The node has told the other nodes that it leaves, and sends the rest of its answers.
+    Sending,
     /// The process ends.
     Ended,
 }
--- a/crates/core/src/stop/stop.rs
+++ b/crates/core/src/stop/stop.rs
@@ -20,8 +20,13 @@
 /// is for sending them.
 const ANSWER_FRACTION: f64 = 0.9;
 
-/// The fraction of the grace period after which the process ends, whatever is left.
-const END_FRACTION: f64 = 0.94;
+/// The fraction of the grace period after which other nodes are told that this node leaves, and only
+/// the rest of its answers is sent.
+const LEAVE_FRACTION: f64 = 0.94;
+
+/// How long before it would be killed the process ends, whatever is left. The last log lines are written
+/// in this time.
+const EXIT_TIME: Duration = Duration::from_millis(150);
 
 /// A request that may run once only must have this many times the longest recent latency left: its
 /// caller can't repeat it if the answer does not come.
@@ -61,6 +66,7 @@
         match load {
             _ if !self.is_closing => Phase::Leaving,
             Load { requests: 0, connections: 0 } => Phase::Ended,
+            Load { .. } if elapsed >= self.grace.mul_f64(LEAVE_FRACTION) => Phase::Sending,
             Load { .. } => Phase::Closing,
         }
     }
@@ -88,6 +94,7 @@
 
     /// Returns the latest time at which the process ends.
     pub fn end(&self) -> Time {
-        self.began + self.grace.mul_f64(END_FRACTION)
+        let longest = self.grace.mul_f64(1.0 - LEAVE_FRACTION);
+        self.began + self.grace.saturating_sub(EXIT_TIME.min(longest))
     }
 }
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -9,14 +9,14 @@
 use tokio::{
     net::{TcpListener, UdpSocket},
     signal::unix::{SignalKind, signal},
-    sync::watch,
+    sync::{mpsc, watch},
 };
 
 use super::{PAUSE_THRESHOLD, Reload, Settings, Shared, admin};
 use crate::{
     events, feed,
     front::{self, Origin},
-    peers,
+    peers::{self, Exchange},
 };
 
 /// How often state that depends on time is updated.
@@ -103,31 +103,50 @@
     }
 
     on_reload((settings.reload)(), &mut grace);
-    shared.begin_stop(grace.time());
+    let ticks = timer.every(STOP_TICK_INTERVAL);
+    stop(&shared, grace.time(), &phases, &exchange, ticks).await;
+    Ok(())
+}
+
+/// Stops the node within the grace time.
+async fn stop(
+    shared: &Shared,
+    grace: Duration,
+    phases: &watch::Sender<Option<Phase>>,
+    exchange: &Exchange,
+    mut ticks: mpsc::Receiver<timer::Tick>,
+) {
+    let end = shared.begin_stop(grace);
     events::STOPPING.emit(&[
         ("running", &shared.state.borrow().load.requests),
-        ("grace_millis", &grace.time().as_millis()),
+        ("grace_millis", &grace.as_millis()),
     ]);
-    let mut ticks = timer.every(STOP_TICK_INTERVAL);
-    while let Some(tick) = ticks.recv().await {
+    let mut has_left = false;
+    loop {
+        let now = tokio::select! {
+            Some(tick) = ticks.recv() => tick.now,
+            () = tokio::time::sleep_until(shared.clock.instant(end)) => shared.now(),
+        };
         let phase = {
             let state = &mut *shared.state.borrow_mut();
-            state.stop.as_mut().map(|it| it.phase(state.load, tick.now))
+            state.stop.as_mut().map(|it| it.phase(state.load, now))
         };
         phases.send_if_modified(|it| {
             let is_new = *it != phase;
             *it = phase;
             is_new
         });
+        if !has_left && phase >= Some(Phase::Sending) {
+            exchange.leave();
+            has_left = true;
+        }
         if phase == Some(Phase::Ended) {
             break;
         }
     }
-    exchange.leave();
     shared.end();
     let Load { requests, connections } = shared.state.borrow().load;
     events::STOPPED.emit(&[("running", &requests), ("connections", &connections)]);
-    Ok(())
 }
 
 fn on_reload(Reload { grace, message }: Reload, current: &mut Grace) {
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -122,12 +122,13 @@
         self.state.borrow().mirror.plan().cloned()
     }
 
-    /// Begins a planned stop. The process is killed `grace` later.
-    pub fn begin_stop(&self, grace: Duration) {
+    /// Begins a planned stop. The process is killed `grace` later. Returns when it ends at the latest.
+    pub fn begin_stop(&self, grace: Duration) -> Time {
         let stop = Stop::new(grace, self.now());
         self.state.borrow_mut().stop = Some(stop);
         self.answers_due.send_replace(Some(stop.answers_due()));
         self.refresh_ready();
+        stop.end()
     }
 
     /// Ends the node: what is still under way is dropped.
