Don't close a connection as idle while a request arrives

What callers saw: in a planned stop, a kept connection was closed with the first bytes of a request's head read, 2.5 s or more after the SIGTERM. The request ran nowhere; its caller saw a closed connection.

Cause: the HTTP library counts a connection as idle until the whole head has arrived. Ruled out: a connection that has carried no request before; the library leaves it open if it has read anything.

Change: a connection on which a part of a request has arrived is left open until the request is answered, which closes it, and is closed when the final answers are due.

Test: partial_heads::partial_head_cut with a real process fails on the code before (no answer) and passes now, in one play each.

--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -113,11 +113,19 @@
         _ = phase.wait_for(|it| *it >= Some(Phase::Closing)) => {}
     }
     state.begin_close();
-    if poll!(connection.as_mut()).is_pending() {
-        connection.as_mut().graceful_shutdown();
-        // An error of the connection matters only to the caller.
-        let _ = connection.await;
+    if poll!(connection.as_mut()).is_ready() {
+        return;
+    }
+    if progress.is_partial() {
+        // The connection isn't idle: it closes after the answer.
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = shared.answers_due() => {}
+        }
     }
+    connection.as_mut().graceful_shutdown();
+    // An error of the connection matters only to the caller.
+    let _ = connection.await;
 }
 
 /// Counts a connection as open until dropped.
