Write the last answers when the process got no time before, and count the grace time from the signal

Causes and changes, each of the class that the end is a deadline: - The end overtakes answers that are due: it now waits up to 50 ms for them, before the kill. - The grace time counted from after the settings were read again; it counts from the signal. - An error of one waiting connection dropped those taken from the queue before it; each is served as it is accepted. - A notice of the close followed an answer that the HTTP server makes itself, or one after which the caller wanted the close; it doesn't. - A notice was followed by a reset if a request crossed it; the connection lingers for 200 ms. - The last send buffer could shrink one that the system had raised; a probe tells what the system grants. - The log was flushed for longer than the process has left.

--- a/crates/cli/src/json_log.rs
+++ b/crates/cli/src/json_log.rs
@@ -20,7 +20,7 @@
 const BATCH_BYTES: usize = 64 * 1024;
 
 /// Maximum time to wait for queued lines when the process ends.
-const FLUSH_TIMEOUT: Duration = Duration::from_millis(200);
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Interval at which the end of the process checks for queued lines.
 const FLUSH_POLL_INTERVAL: Duration = Duration::from_millis(2);
--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -1,7 +1,7 @@
 use std::{borrow::Cow, cell::RefCell, convert::Infallible, io, rc::Rc, time::Duration};
 
 use futures_util::poll;
-use http::{HeaderValue, Request, header};
+use http::{HeaderValue, Request, Version};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mimosabridge::{plan::Limits, stop::Phase};
@@ -16,7 +16,7 @@
     serve::{Origin, serve},
     transport::{self, Transport},
 };
-use crate::{events, node::Shared};
+use crate::{events, node::Shared, wire};
 
 /// How long to wait after a connection could not be accepted, usually for lack of descriptors.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -50,27 +50,25 @@
             _ = closing.wait_for(|it| *it >= Some(Phase::Closing)) => break,
         }
     }
-    match waiting(listener) {
-        Ok(streams) => {
-            for stream in streams {
-                tokio::task::spawn_local(connection(shared.clone(), stream, phase.clone(), origin));
-            }
-        }
-        Err(error) => events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]),
+    let serve = |stream| {
+        tokio::task::spawn_local(connection(shared.clone(), stream, phase.clone(), origin));
+    };
+    if let Err(error) = take_waiting(listener, serve) {
+        events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]);
     }
 }
 
-/// Closes a listener and returns the connections that waited to be accepted, which would be reset.
-fn waiting(listener: TcpListener) -> io::Result<Vec<TcpStream>> {
+/// Closes a listener after it has accepted the connections that wait, which would be reset.
+fn take_waiting(listener: TcpListener, serve: impl Fn(TcpStream)) -> io::Result<()> {
     let listener = listener.into_std()?;
-    let mut streams = Vec::new();
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
                 stream.set_nonblocking(true)?;
-                streams.push(TcpStream::from_std(stream)?);
+                serve(TcpStream::from_std(stream)?);
             }
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(streams),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => {}
             Err(error) => return Err(error),
         }
     }
@@ -91,11 +89,13 @@
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
     let (state, progress) = (open.state.clone(), Rc::<Progress>::default());
-    let stream = Linger::new(Transport::new(stream, state.clone()), progress.clone());
+    let stream = Transport::new(stream, state.clone(), progress.clone());
+    let stream = Linger::new(stream, progress.clone());
     let service = service_fn(async |request: Request<Incoming>| {
         open.id.replace(request.headers().get(&shared.headers.request_id).cloned());
+        let is_last = request.version() < Version::HTTP_11 || wire::closes(request.headers());
         let answer = serve(shared.clone(), request, origin, &progress).await;
-        state.on_answer(answer.headers().contains_key(header::CONNECTION));
+        state.on_answer(is_last || wire::closes(answer.headers()));
         Ok::<_, Infallible>(answer)
     });
     let connection = http1::Builder::new()
--- a/crates/direct/src/front/linger.rs
+++ b/crates/direct/src/front/linger.rs
@@ -15,6 +15,9 @@
 /// How long a connection lingers at most.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The same for an idle connection that carries a notice of its close.
+const NOTICE_LINGER_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// How much a lingering connection reads at most.
 const MAX_LINGER_BYTES: usize = 4 * 1_024 * 1_024;
 
@@ -46,6 +49,7 @@
 pub struct Progress {
     is_partial: Cell<bool>,
     body_comes: Cell<bool>,
+    is_noticed: Cell<bool>,
 }
 
 impl Progress {
@@ -55,6 +59,11 @@
         self.body_comes.set(!is_whole);
     }
 
+    /// Records that the caller is told of the close of its idle connection.
+    pub fn set_noticed(&self) {
+        self.is_noticed.set(true);
+    }
+
     /// Returns whether a part of a request has arrived.
     pub fn is_partial(&self) -> bool {
         self.is_partial.get()
@@ -111,11 +120,13 @@
         if end.is_none() {
             ready!(Pin::new(&mut *stream).poll_shutdown(context))?;
         }
-        if !*has_sent && !progress.body_comes.get() {
+        let is_noticed = progress.is_noticed.get();
+        if !*has_sent && !progress.body_comes.get() && !is_noticed {
             // No answer can be lost.
             return Poll::Ready(Ok(()));
         }
-        let end = end.get_or_insert_with(|| Box::pin(sleep(LINGER_TIMEOUT)));
+        let timeout = if is_noticed { NOTICE_LINGER_TIMEOUT } else { LINGER_TIMEOUT };
+        let end = end.get_or_insert_with(|| Box::pin(sleep(timeout)));
         let mut bytes = [0; BUFFER_BYTES];
         while *left > 0 {
             let mut buffer = ReadBuf::new(&mut bytes);
@@ -124,7 +135,9 @@
                     *left = left.saturating_sub(buffer.filled().len());
                     progress.is_partial.set(true);
                 }
-                Poll::Pending if progress.is_partial() || progress.body_comes.get() => {
+                Poll::Pending
+                    if is_noticed || progress.is_partial() || progress.body_comes.get() =>
+                {
                     return end.as_mut().poll(context).map(Ok);
                 }
                 Poll::Ready(_) | Poll::Pending => break,
--- a/crates/direct/src/front/transport.rs
+++ b/crates/direct/src/front/transport.rs
@@ -6,12 +6,13 @@
     task::{Context, Poll},
 };
 
-use socket2::{SockRef, Socket};
+use socket2::{Domain, SockRef, Socket, Type};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
 
+use super::linger::Progress;
 use crate::events;
 
 /// Tells a caller whose request crosses the close of its connection that it has not run (RFC 9110,
@@ -27,6 +28,7 @@
 pub struct Transport {
     stream: TcpStream,
     state: Rc<State>,
+    progress: Rc<Progress>,
 }
 
 /// What the owner of a connection and its transport tell each other.
@@ -34,6 +36,8 @@
 pub struct State {
     is_closing: Cell<bool>,
     is_close_announced: Cell<bool>,
+    /// Whether bytes that are written are of an answer that this node has made.
+    has_answer: Cell<bool>,
     is_write_blocked: Cell<bool>,
     is_send_buffer_raised: Cell<bool>,
 }
@@ -48,6 +52,7 @@
     /// Records whether the latest answer announces that the connection is closed.
     pub fn on_answer(&self, is_close_announced: bool) {
         self.is_close_announced.set(is_close_announced);
+        self.has_answer.set(true);
     }
 
     /// Returns whether a part of an answer waits for the caller to read.
@@ -58,8 +63,20 @@
 
 impl Transport {
     /// Wraps a connection.
-    pub fn new(stream: TcpStream, state: Rc<State>) -> Transport {
-        Transport { stream, state }
+    pub fn new(stream: TcpStream, state: Rc<State>, progress: Rc<Progress>) -> Transport {
+        Transport { stream, state, progress }
+    }
+
+    /// Tells the caller that its connection is closed.
+    fn write_close_notice(&self) {
+        // The last answer may still fill the buffer.
+        self.raise_send_buffer();
+        let mut socket: &Socket = &SockRef::from(&self.stream);
+        match socket.write_all(CLOSE_NOTICE) {
+            Ok(()) => self.progress.set_noticed(),
+            // The caller is gone, or does not read.
+            Err(error) => log::debug!("no notice of the close: {error}"),
+        }
     }
 
     /// Reads what has arrived, although the runtime may not have noticed it yet.
@@ -76,6 +93,10 @@
     fn on_write(&self, written: &Poll<io::Result<usize>>, wanted: usize) {
         let is_complete = matches!(written, Poll::Ready(Ok(count)) if *count == wanted);
         self.state.is_write_blocked.set(!is_complete);
+        if !self.state.has_answer.get() {
+            // The HTTP server closes the connection after the answers that it makes itself.
+            self.state.is_close_announced.set(true);
+        }
         if written.is_pending() && self.state.is_closing.get() {
             self.raise_send_buffer();
         }
@@ -87,26 +108,38 @@
         if self.state.is_send_buffer_raised.replace(true) {
             return;
         }
-        let socket = SockRef::from(&self.stream);
-        let is_small = |bytes| bytes < LAST_SEND_BUFFER_BYTES;
-        if socket.send_buffer_size().is_ok_and(is_small)
-            && let Err(error) = socket.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)
-        {
+        if let Err(error) = raise_send_buffer(&SockRef::from(&self.stream)) {
             events::TROUBLE.emit(&[("operation", &"raise a send buffer"), ("error", &error)]);
         }
     }
 }
 
+/// Raises the send buffer of a socket. The system may grant less than is wanted, and must not shrink a
+/// buffer that it has raised itself.
+fn raise_send_buffer(socket: &Socket) -> io::Result<()> {
+    let probe = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    probe.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)?;
+    if socket.send_buffer_size()? < probe.send_buffer_size()? {
+        socket.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)?;
+    }
+    Ok(())
+}
+
 impl AsyncRead for Transport {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        match Pin::new(&mut self.stream).poll_read(context, buffer) {
-            Poll::Pending if self.state.is_closing.get() => self.read_arrived(buffer),
-            read => read,
+        let before = buffer.filled().len();
+        let mut read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if read.is_pending() && self.state.is_closing.get() {
+            read = self.read_arrived(buffer);
+        }
+        if buffer.filled().len() > before {
+            self.state.has_answer.set(false);
         }
+        read
     }
 }
 
@@ -141,8 +174,7 @@
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         if self.state.is_closing.get() && !self.state.is_close_announced.replace(true) {
-            let mut socket: &Socket = &SockRef::from(&self.stream);
-            socket.write_all(CLOSE_NOTICE)?;
+            self.write_close_notice();
         }
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -3,6 +3,7 @@
 use mimosabridge::{
     member::{Incarnation, Record, Roles, State},
     stop::{Grace, Load, Phase},
+    time::Time,
 };
 use mimosabridge_node::timer;
 use snafu::{ResultExt, Snafu};
@@ -102,25 +103,25 @@
         }
     }
 
+    let began = shared.now();
     on_reload((settings.reload)(), &mut grace);
-    let ticks = timer.every(STOP_TICK_INTERVAL);
-    stop(&shared, grace.time(), &phases, &exchange, ticks).await;
+    let end = shared.begin_stop(grace.time(), began);
+    events::STOPPING.emit(&[
+        ("running", &shared.state.borrow().load.requests),
+        ("grace_millis", &grace.time().as_millis()),
+    ]);
+    stop(&shared, end, &phases, &exchange, timer.every(STOP_TICK_INTERVAL)).await;
     Ok(())
 }
 
-/// Stops the node within the grace time.
+/// Stops the node, by `end` at the latest.
 async fn stop(
     shared: &Shared,
-    grace: Duration,
+    end: Time,
     phases: &watch::Sender<Option<Phase>>,
     exchange: &Exchange,
     mut ticks: mpsc::Receiver<timer::Tick>,
 ) {
-    let end = shared.begin_stop(grace);
-    events::STOPPING.emit(&[
-        ("running", &shared.state.borrow().load.requests),
-        ("grace_millis", &grace.as_millis()),
-    ]);
     let mut has_left = false;
     loop {
         let now = tokio::select! {
@@ -144,6 +145,7 @@
             break;
         }
     }
+    shared.write_last_answers().await;
     shared.end();
     let Load { requests, connections } = shared.state.borrow().load;
     events::STOPPED.emit(&[("running", &requests), ("connections", &connections)]);
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -27,6 +27,12 @@
 /// A pause of the process of this length makes its state outdated.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
 
+/// How long the end of a planned stop may wait for answers that are due.
+const LAST_ANSWERS_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// How often the end of a planned stop checks for them.
+const LAST_ANSWERS_POLL_INTERVAL: Duration = Duration::from_millis(2);
+
 /// The state that the parts of a node share. They all run on one thread.
 pub struct Shared {
     /// The clock of the node.
@@ -122,15 +128,24 @@
         self.state.borrow().mirror.plan().cloned()
     }
 
-    /// Begins a planned stop. The process is killed `grace` later. Returns when it ends at the latest.
-    pub fn begin_stop(&self, grace: Duration) -> Time {
-        let stop = Stop::new(grace, self.now());
+    /// Begins a planned stop as of `began`. The process is killed `grace` later. Returns when it ends at
+    /// the latest.
+    pub fn begin_stop(&self, grace: Duration, began: Time) -> Time {
+        let stop = Stop::new(grace, began);
         self.state.borrow_mut().stop = Some(stop);
         self.answers_due.send_replace(Some(stop.answers_due()));
         self.refresh_ready();
         stop.end()
     }
 
+    /// Lets requests whose final answers are due write them, if the process got no processor time before.
+    pub async fn write_last_answers(&self) {
+        let until = self.now() + LAST_ANSWERS_TIMEOUT;
+        while self.state.borrow().load.requests > 0 && self.now() < until {
+            tokio::time::sleep(LAST_ANSWERS_POLL_INTERVAL).await;
+        }
+    }
+
     /// Ends the node: what is still under way is dropped.
     pub fn end(&self) {
         self.is_ended.set(true);
--- a/crates/direct/tests/node/closed_connections.rs
+++ b/crates/direct/tests/node/closed_connections.rs
@@ -48,7 +48,7 @@
 
     /// Closes the connections, as in a planned stop with a grace time.
     fn close(&self, grace: Duration) {
-        self.shared.begin_stop(grace);
+        self.shared.begin_stop(grace, self.shared.now());
         self.phases.send_replace(Some(Phase::Closing));
     }
 
@@ -133,16 +133,34 @@
     });
 }
 
-/// An answer that announces the close is followed by no other.
+/// An answer that announces the close is followed by no notice.
 #[test]
 fn noticed_once() {
     run(async {
         let front = Front::start().await;
         let mut caller = front.connect_used().await;
-        front.shared.begin_stop(GRACE);
+        front.shared.begin_stop(GRACE, front.shared.now());
         send(&caller, REQUEST);
         assert_eq!(answer(&mut caller).await.as_deref(), Some("503"));
         front.close(GRACE);
         assert_eq!(answer(&mut caller).await, None, "the connection is closed");
     });
 }
+
+/// So is the answer of the HTTP server to an invalid head.
+#[test]
+fn invalid_head_noticed() {
+    run(async {
+        let front = Front::start().await;
+        let mut caller = front.connect_used().await;
+        send(&caller, "GET /x HTTP/1.1\r\nhost: ");
+        front.close(GRACE);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        send(&caller, "x\r\nno field\r\n\r\n");
+        let mut text = String::new();
+        let end = timeout(ANSWER_TIME, caller.read_to_string(&mut text)).await;
+        end.expect("an end in time").expect("the connection is closed");
+        assert!(text.starts_with("HTTP/1.1 400"), "{text}");
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{text}");
+    });
+}
