Close the listeners before a stopping process ends

What callers saw: connections that waited to be accepted were reset, with their requests, as the process ended.

Cause: a stop without requests and connections went from its first phase to its end at once, though only the phase in between closes the listeners after it has accepted what waits. A connection was counted once its task ran, not once it was accepted.

Change: listeners are part of the load of a stop, and connections count from when they are accepted.

Measured: planned_stop::queue_reset is of the new field and was not run before; the assertions of the other cases are as they were.

--- a/crates/core/src/stop/load.rs
+++ b/crates/core/src/stop/load.rs
@@ -6,4 +6,6 @@
     /// The number of open connections of callers and other nodes. Answers may still be on their way
     /// over them.
     pub connections: usize,
+    /// The number of addresses at which the node still accepts connections.
+    pub listeners: usize,
 }
--- a/crates/core/src/stop/stop.rs
+++ b/crates/core/src/stop/stop.rs
@@ -65,7 +65,7 @@
             elapsed >= close_after || is_quiet && elapsed >= BALANCER_DELAY.min(close_after);
         match load {
             _ if !self.is_closing => Phase::Leaving,
-            Load { requests: 0, connections: 0 } => Phase::Ended,
+            Load { requests: 0, connections: 0, listeners: 0 } => Phase::Ended,
             Load { .. } if elapsed >= self.grace.mul_f64(LEAVE_FRACTION) => Phase::Sending,
             Load { .. } => Phase::Closing,
         }
--- a/crates/core/tests/direct/planned_stop.rs
+++ b/crates/core/tests/direct/planned_stop.rs
@@ -17,7 +17,7 @@
 }
 
 fn load(requests: usize) -> Load {
-    Load { requests, connections: requests }
+    Load { requests, connections: requests, listeners: 0 }
 }
 
 #[test]
@@ -53,7 +53,7 @@
 #[test]
 fn answer_cut_while_sent() {
     let mut stop = stop();
-    let sending = Load { requests: 0, connections: 1 };
+    let sending = Load { requests: 0, connections: 1, listeners: 0 };
     assert_eq!(stop.phase(sending, at(2_600)), Phase::Closing);
     stop.on_request(at(2_700));
     assert_eq!(stop.phase(load(1), at(2_700)), Phase::Closing, "a request crossed the close");
@@ -67,7 +67,7 @@
     let mut stop = stop();
     assert_eq!(stop.phase(load(1), at(5_600)), Phase::Closing);
     assert_eq!(stop.phase(load(1), at(5_650)), Phase::Sending, "the other nodes are told");
-    let sending = Load { requests: 0, connections: 1 };
+    let sending = Load { requests: 0, connections: 1, listeners: 0 };
     assert_eq!(stop.phase(sending, at(5_840)), Phase::Sending);
     assert_eq!(stop.phase(load(0), at(5_840)), Phase::Ended);
 }
@@ -80,6 +80,14 @@
     assert!(stop.end() <= at(940));
 }
 
+/// Guards against a process that ends with connections in the queue of a listener.
+#[test]
+fn queue_reset() {
+    let mut stop = stop();
+    assert_eq!(stop.phase(Load { listeners: 1, ..load(0) }, at(2_600)), Phase::Closing);
+    assert_eq!(stop.phase(load(0), at(2_650)), Phase::Ended);
+}
+
 /// Guards against requests that are taken though the process ends before their answer.
 #[rstest]
 #[case::short(Repeat::Idempotent, 50, 15_000, 5_150)]
--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -34,14 +34,16 @@
     phase: watch::Receiver<Option<Phase>>,
     origin: Origin,
 ) {
+    let _listening = Listening::new(shared.clone());
+    let serve = |stream| {
+        let open = Open::new(shared.clone());
+        tokio::task::spawn_local(connection(shared.clone(), stream, open, phase.clone(), origin));
+    };
     let mut closing = phase.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    let (shared, phase) = (shared.clone(), phase.clone());
-                    tokio::task::spawn_local(connection(shared, stream, phase, origin));
-                }
+                Ok((stream, _)) => serve(stream),
                 Err(error) => {
                     events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]);
                     tokio::time::sleep(ACCEPT_BACKOFF).await;
@@ -50,9 +52,6 @@
             _ = closing.wait_for(|it| *it >= Some(Phase::Closing)) => break,
         }
     }
-    let serve = |stream| {
-        tokio::task::spawn_local(connection(shared.clone(), stream, phase.clone(), origin));
-    };
     if let Err(error) = take_waiting(listener, serve) {
         events::TROUBLE.emit(&[("operation", &"accept"), ("error", &error)]);
     }
@@ -77,10 +76,10 @@
 async fn connection(
     shared: Rc<Shared>,
     stream: TcpStream,
+    open: Open,
     mut phase: watch::Receiver<Option<Phase>>,
     origin: Origin,
 ) {
-    let open = Open::new(shared.clone());
     let limits = shared.plan().map_or_else(Limits::default, |it| *it.limits());
     let keepalive =
         TcpKeepalive::new().with_time(KEEPALIVE_INTERVAL).with_interval(KEEPALIVE_INTERVAL);
@@ -128,6 +127,24 @@
     let _ = connection.await;
 }
 
+/// Counts an address as one at which the node accepts connections until dropped.
+struct Listening {
+    shared: Rc<Shared>,
+}
+
+impl Listening {
+    fn new(shared: Rc<Shared>) -> Listening {
+        shared.state.borrow_mut().load.listeners += 1;
+        Listening { shared }
+    }
+}
+
+impl Drop for Listening {
+    fn drop(&mut self) {
+        self.shared.state.borrow_mut().load.listeners -= 1;
+    }
+}
+
 /// Counts a connection as open until dropped.
 struct Open {
     shared: Rc<Shared>,
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -147,7 +147,7 @@
     }
     shared.write_last_answers().await;
     shared.end();
-    let Load { requests, connections } = shared.state.borrow().load;
+    let Load { requests, connections, .. } = shared.state.borrow().load;
     events::STOPPED.emit(&[("running", &requests), ("connections", &connections)]);
 }
 
