--- a/crates/core/src/reach/reach.rs
+++ b/crates/core/src/reach/reach.rs
@@ -182,8 +182,8 @@
     }
 
     /// Returns a node that can serve requests in the place of this one, while it is stranded: one that
-    /// does not stop if there is any, then one of the same data centre. Requests that a node gets while
-    /// it closes its connections are lost.
+    /// does not stop if there is any, then one of the same data centre. Requests that cross the close of
+    /// a connection have to be asked elsewhere.
     pub fn helper(&self, rng: &mut impl Rng, now: Time) -> Option<&Helper> {
         self.lost_since?;
         let rank = |it: &Helper| (self.is_leaving(it, now), !it.is_near);
