--- a/crates/core/src/reach/reach.rs
+++ b/crates/core/src/reach/reach.rs
@@ -24,7 +24,7 @@
 /// How long a node that could not help is left alone.
 const HELPER_BACKOFF: Duration = Duration::from_secs(1);
 
-/// How long a node counts as stopping after it has said so, at least as long as a planned stop takes.
+/// How long a node counts as stopping after it has said so, unless its successor answers before.
 const LEAVING_TIME: Duration = Duration::from_secs(10);
 
 /// How long this node's view of servers is not told to others after the last answer of one: a node
