Send no notice of a close behind an answer that its caller still reads

The answers were whole by their length; a caller that reads on takes the notice for a part of them.

Cause: an answer that was made before the SIGTERM, and that its caller reads slowly, doesn't announce the close. When it was sent at last, its connection counted as idle.

Change: a connection whose latest answer had to wait for its caller is closed without a notice.

--- a/crates/direct/src/front/transport.rs
+++ b/crates/direct/src/front/transport.rs
@@ -39,6 +39,8 @@
     /// Whether bytes that are written are of an answer that this node has made.
     has_answer: Cell<bool>,
     is_write_blocked: Cell<bool>,
+    /// Whether the caller read the latest answer more slowly than it was made, and may still read it.
+    is_read_slowly: Cell<bool>,
     is_send_buffer_raised: Cell<bool>,
 }
 
@@ -53,6 +55,13 @@
     pub fn on_answer(&self, is_close_announced: bool) {
         self.is_close_announced.set(is_close_announced);
         self.has_answer.set(true);
+        self.is_read_slowly.set(false);
+    }
+
+    /// Returns whether the close of the connection is to be told: not behind an answer that the caller
+    /// may still read.
+    fn needs_close_notice(&self) -> bool {
+        self.is_closing.get() && !self.is_close_announced.get() && !self.is_read_slowly.get()
     }
 
     /// Returns whether a part of an answer waits for the caller to read.
@@ -69,8 +78,6 @@
 
     /// Tells the caller that its connection is closed.
     fn write_close_notice(&self) {
-        // The last answer may still fill the buffer.
-        self.raise_send_buffer();
         let mut socket: &Socket = &SockRef::from(&self.stream);
         match socket.write_all(CLOSE_NOTICE) {
             Ok(()) => self.progress.set_noticed(),
@@ -93,6 +100,9 @@
     fn on_write(&self, written: &Poll<io::Result<usize>>, wanted: usize) {
         let is_complete = matches!(written, Poll::Ready(Ok(count)) if *count == wanted);
         self.state.is_write_blocked.set(!is_complete);
+        if !is_complete {
+            self.state.is_read_slowly.set(true);
+        }
         if !self.state.has_answer.get() {
             // The HTTP server closes the connection after the answers that it makes itself.
             self.state.is_close_announced.set(true);
@@ -173,7 +183,8 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.state.is_closing.get() && !self.state.is_close_announced.replace(true) {
+        if self.state.needs_close_notice() {
+            self.state.is_close_announced.set(true);
             self.write_close_notice();
         }
         Pin::new(&mut self.stream).poll_shutdown(context)
