Name servers' rests to the node that passes an answer on

A server that had asked for a rest got six requests of the callers of one VM during it, the first half a second after its answer.

Cause: the VM reached no server and had another one serve its callers. That one was told of the rest (5123); its answer names servers that leave and said nothing of rests, so that the VM, which reached the servers again, sent to the resting one.

Ruled out: a rest that is heard and forgotten; the VM has no line 5123 for it.

Change: relayed answers name rests too, with the milliseconds that are left (x-mimosabridge-resting), and front/notices.rs holds both headers, writing and reading. Nodes of earlier versions pass the new header on to callers, as they do the other one.

--- a/crates/direct/src/front/drive.rs
+++ b/crates/direct/src/front/drive.rs
@@ -4,7 +4,6 @@
 use mimosabridge::{
     balance::Stated,
     fingerprint::Fingerprint,
-    name::Name,
     plan::{Plan, Target},
     scatter::{Action, Attempt, Context, End, Run, Verdict, merge},
     time::Time,
@@ -13,6 +12,7 @@
 use super::{
     evidence,
     incoming::Query,
+    notices::Notices,
     relay::relay,
     respond::{self, Answer},
     serve::Origin,
@@ -44,8 +44,7 @@
     started_at: Time,
     attempts: FuturesUnordered<LocalBoxFuture<'static, Ended>>,
     replies: HashMap<usize, Reply>,
-    /// The servers that have answered that they leave.
-    leaving: Vec<Name>,
+    notices: Notices,
     /// Whether the content was reported as one that may end servers.
     is_reported: bool,
     is_answered: bool,
@@ -88,7 +87,7 @@
         started_at,
         attempts: FuturesUnordered::new(),
         replies: HashMap::new(),
-        leaving: Vec::new(),
+        notices: Notices::default(),
         is_reported: false,
         is_answered: false,
     };
@@ -96,7 +95,7 @@
     let mut answer = execution.answer(&verdict);
     execution.is_answered = true;
     if origin == Origin::Node {
-        respond::name_leaving(&mut answer, &execution.leaving);
+        execution.notices.write(&mut answer, execution.shared.now());
     }
     if origin == Origin::Caller && matches!(verdict, Verdict::Refuse(_)) {
         let Execution { shared, run, outgoing, .. } = &execution;
@@ -242,9 +241,7 @@
         }
         let notice = Notice { rest: reply.notice.rest.filter(|_| is_named), ..reply.notice };
         self.shared.on_notice(&attempt.server, notice, "answer");
-        if reply.notice.is_leaving {
-            self.leaving.push(attempt.server.id.clone());
-        }
+        self.notices.add(&attempt.server.id, notice, self.shared.now());
     }
 
     /// Returns whether an answer has the same signature as an earlier one: a merged answer that
--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -5,6 +5,7 @@
 mod evidence;
 mod incoming;
 mod linger;
+mod notices;
 mod relay;
 mod respond;
 mod serve;
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -6,15 +6,17 @@
 use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::Full;
 use mimosabridge::{
-    name::Name,
     plan::Rule,
     reach::{Ending, Helper, Relay, Step},
     time::Time,
 };
 
-use super::respond::{self, Answer};
+use super::{
+    notices,
+    respond::{self, Answer},
+};
 use crate::{
-    backend::{Identity, Link, LinkError, Notice, Outgoing},
+    backend::{Identity, Link, LinkError, Outgoing},
     events,
     node::Shared,
     wire::{self, Headers},
@@ -47,7 +49,7 @@
                 let (ending, answer) = classify(sent, outgoing, &shared.headers);
                 record(shared, rule, outgoing, &helper, ending, answer.as_ref(), now);
                 if let Some(answer) = &answer {
-                    record_leaving(shared, answer);
+                    notices::record(shared, answer);
                     record_latency(shared, rule, answer, now);
                 }
                 if !matches!(ending, Ending::Answered | Ending::Refused) {
@@ -122,20 +124,6 @@
     Ok(answer)
 }
 
-/// Records the servers that have answered the other node that they leave.
-fn record_leaving(shared: &Shared, answer: &Response<Bytes>) {
-    for id in answer.headers().get_all(respond::LEAVING) {
-        let id = id.to_str().map(Name::new);
-        let server = id.ok().and_then(|it| {
-            let state = shared.state.borrow();
-            state.balancer.directory().get(&it).cloned()
-        });
-        if let Some(server) = server {
-            shared.on_notice(&server, Notice { is_leaving: true, rest: None }, "relayed answer");
-        }
-    }
-}
-
 /// Records for how long a request took that the other node served.
 fn record_latency(shared: &Shared, rule: &Rule, answer: &Response<Bytes>, began: Time) {
     if answer.status().is_success() {
--- a/crates/direct/src/front/respond.rs
+++ b/crates/direct/src/front/respond.rs
@@ -1,18 +1,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use http::{HeaderValue, Response, StatusCode, header};
 use http_body_util::Full;
-use mimosabridge::{name::Name, scatter::Failure};
+use mimosabridge::scatter::Failure;
 
+use super::notices;
 use crate::{
     backend::Reply,
     wire::{self, Headers},
 };
 
-/// Names a server that leaves, in an answer to another node.
-pub const LEAVING: HeaderName = HeaderName::from_static("x-mimosabridge-leaving");
-
 /// The answer to a caller.
 pub type Answer = Response<Full<Bytes>>;
 
@@ -51,21 +49,11 @@
     answer
 }
 
-/// Names the servers to another node that have answered that they leave: it passes the answer on and
-/// must know as much as if they had answered itself.
-pub fn name_leaving(answer: &mut Answer, servers: &[Name]) {
-    for server in servers {
-        if let Ok(value) = HeaderValue::from_str(server.as_str()) {
-            answer.headers_mut().append(LEAVING, value);
-        }
-    }
-}
-
 /// Returns the answer of another node without the headers for this node alone, otherwise unchanged.
 pub fn relayed(answer: Response<Bytes>) -> Answer {
     let mut answer = answer.map(Full::new);
     wire::strip(answer.headers_mut());
-    answer.headers_mut().remove(LEAVING);
+    notices::strip(answer.headers_mut());
     answer
 }
 
--- a/crates/direct/tests/node/resting_servers.rs
+++ b/crates/direct/tests/node/resting_servers.rs
@@ -84,3 +84,20 @@
         }
     });
 }
+
+/// Guards against a node that has passed on a rejection in the answer of another node, and does not know
+/// of the rest.
+#[test]
+fn relayed_rest_unnamed() {
+    run(async {
+        let server = Server::start("i-1", "one", Behavior::Shed).await;
+        "retry-after: 2.5\r\n".clone_into(&mut server.more.borrow_mut());
+        let node = Node::start(&[&server]).await;
+        let answer = ask(node.peer, &request("GET", "/many/a", "r1", "")).await;
+        let rest = answer.expect("the node answers").header("x-mimosabridge-resting");
+        let rest = rest.expect("the answer names the rest");
+        let (millis, name) = rest.split_once(' ').expect("two parts");
+        assert_eq!(name, "i-1");
+        assert!(millis.parse::<u64>().is_ok_and(|it| (1..=2_500).contains(&it)), "{millis}");
+    });
+}
--- a/crates/direct/tests/node/stranded_nodes.rs
+++ b/crates/direct/tests/node/stranded_nodes.rs
@@ -166,6 +166,36 @@
     });
 }
 
+/// Guards against requests of a node that reaches the servers again, although one that served its callers
+/// was told meanwhile that the servers want none.
+#[test]
+fn relayed_rest_forgotten() {
+    run(async {
+        let mut place = Place::new(Cut::Silent).await;
+        let sound = place.start("sound", false, &[]).await;
+        let stranded = place.start("stranded", true, &[&sound]).await;
+        use_for(STABLE_TIME, &[&sound, &stranded]).await;
+        let targets = || place.servers.iter().filter(|it| it.service.as_str() == "one");
+        for server in targets() {
+            server.behavior.set(Behavior::Shed);
+            "retry-after: 60\r\n".clone_into(&mut server.more.borrow_mut());
+        }
+        while targets().any(|it| it.arrivals() == 0) {
+            assert!(!is_served(&stranded, "/one/x").await);
+        }
+        targets().for_each(|it| it.behavior.set(Behavior::Correct));
+        let before: usize = targets().map(Server::arrivals).sum();
+        place.heal();
+        while get(stranded.ready, "/ready").await.map(|it| it.status) != Some(200) {
+            sleep(Duration::from_millis(20)).await;
+        }
+        assert!(!is_served(&stranded, "/one/x").await);
+        let targets = place.servers.iter().filter(|it| it.service.as_str() == "one");
+        let after: usize = targets.map(Server::arrivals).sum();
+        assert_eq!(after, before, "the servers rest");
+    });
+}
+
 /// Servers that are down look the same from all nodes: no node sends callers elsewhere.
 #[test]
 fn servers_down() {
