Obey the signals of operators in entries and gates from the start on

What callers saw: a SIGHUP ended mimosabridge-entry, -gate and -node at once. Callers of an entry lost their connection in the middle of a request that ran; with a gate the entry answered "unknown". A SIGTERM or SIGINT that came after the node accepted callers and was known to others, but before `serve` ran, did the same.

Cause: SIGHUP had no handler, and the handlers of the others were installed in `serve`, after all addresses were bound.

Ruled out: further SIGTERMs in a stop. The runtime keeps a handler once it is installed, so they changed nothing before either; the test sends them.

Change: `Signals` installs all three handlers before `Node::start`.

The log is a full stream in the tests of the start, so that the daemon waits between the moment when it binds its addresses and the end of its start: the verdict does not depend on timing.

--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -4,12 +4,14 @@
 mod options;
 mod role;
 mod runner;
+mod signals;
 
 pub use self::{
     config::Config,
     options::{USAGE, parse},
     role::Role,
     runner::Node,
+    signals::Signals,
 };
 
 use std::process;
@@ -22,6 +24,7 @@
 }
 
 async fn run(config: Config) -> Result<ExitCode, Fault> {
-    Node::start(config).await?.serve().await?;
+    let signals = Signals::new()?;
+    Node::start(config).await?.serve(signals).await;
     Ok(ExitCode::Success)
 }
--- a/crates/node/src/node/runner.rs
+++ b/crates/node/src/node/runner.rs
@@ -17,13 +17,12 @@
 use snafu::ResultExt;
 use tokio::{
     net::UdpSocket,
-    signal::unix::{SignalKind, signal},
     sync::{mpsc, oneshot, watch},
     task::JoinHandle,
 };
 use tokio_util::sync::CancellationToken;
 
-use super::{Config, Role};
+use super::{Config, Role, Signals};
 use crate::{
     admin,
     clock::Clock,
@@ -205,16 +204,11 @@
         let _ = self.server.stop();
     }
 
-    /// Serves until the process receives SIGTERM or SIGINT, then stops as planned.
-    pub async fn serve(self) -> Result<(), Fault> {
-        let mut terminate =
-            signal(SignalKind::terminate()).whatever_context("cannot listen for signals")?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = tokio::signal::ctrl_c() => {}
-        }
+    /// Serves until the process receives SIGTERM or SIGINT, then stops as planned. Further signals
+    /// change nothing.
+    pub async fn serve(self, mut signals: Signals) {
+        signals.stop(&self.name).await;
         self.stop().await;
-        Ok(())
     }
 
     /// Stops as planned: notifies the balancer and the other nodes, continues to serve while they
--- a/crates/node/tests/fleet/main.rs
+++ b/crates/node/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod operator_pages;
 mod planned_stop;
 mod poison;
+mod process_signals;
 mod queries;
 mod server_leaves;
 mod silent_connections;
