Forget slow requests that a planned stop need not expect any more

What callers saw: a node that stops refused requests as not run although it had the time to answer them: one request of their rule had been slow, at another node while this one reached no server, or long ago.

Cause: the longest latency was that of the last two windows with samples, however old. That of relays was compared also when the node had none served by others.

Ruled out: forgetting the windows alone. A rule without recent samples would count as one that takes no more than its objective, and a request that may run only once would be passed on and cut. So three quarters of the samples of the last two windows with samples count without limit of age, for relays only while the node has lost the servers.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -289,9 +289,9 @@
         self.baseline(rule).usual_latency()
     }
 
-    /// Returns the longest latency of the requests of a rule lately, or zero without samples.
-    pub fn longest_latency(&mut self, rule: &Rule) -> Duration {
-        self.baseline(rule).longest_latency()
+    /// Returns how long a request of a rule may take, as [`Baseline::longest_latency`] does.
+    pub fn longest_latency(&mut self, rule: &Rule, now: Time) -> Duration {
+        self.baseline(rule).longest_latency(now)
     }
 
     /// Returns the state of a server, or `None` if it is unknown.
--- a/crates/core/src/balance/baseline.rs
+++ b/crates/core/src/balance/baseline.rs
@@ -60,9 +60,10 @@
         self.usual
     }
 
-    /// Returns the longest latency lately.
-    pub fn longest_latency(&self) -> Duration {
-        self.latency.longest()
+    /// Returns how long a request may take: the longest recent latency. Without recent samples older
+    /// ones count, unless few of them took so long. Returns zero without any.
+    pub fn longest_latency(&self, now: Time) -> Duration {
+        self.latency.longest(now).max(self.latency.usual())
     }
 
     /// Returns how long to wait for an answer before a hedge is sent to another server.
--- a/crates/core/src/reach/latencies.rs
+++ b/crates/core/src/reach/latencies.rs
@@ -20,8 +20,12 @@
         self.by_rule.entry(rule.clone()).or_default().record(latency, now);
     }
 
-    /// Returns the longest latency of the relayed requests of a rule lately, or zero without samples.
-    pub fn longest(&self, rule: &Name) -> Duration {
-        self.by_rule.get(rule).map_or(Duration::ZERO, Latency::longest)
+    /// Returns how long a relayed request of a rule may take: the longest recent latency. While this node
+    /// has lost the servers (`is_lost`), older ones show something too, as it measures no others. Returns
+    /// zero if nothing is known.
+    pub fn longest(&self, rule: &Name, is_lost: bool, now: Time) -> Duration {
+        let Some(latency) = self.by_rule.get(rule) else { return Duration::ZERO };
+        let usual = if is_lost { latency.usual() } else { Duration::ZERO };
+        latency.longest(now).max(usual)
     }
 }
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -6,6 +6,7 @@
 mod model;
 mod news_fleet;
 
+mod aged_latencies;
 mod budget_window;
 mod choice_of_server;
 mod cold_share;
--- a/crates/core/tests/direct/planned_stop.rs
+++ b/crates/core/tests/direct/planned_stop.rs
@@ -118,10 +118,10 @@
     let mut relayed = Latencies::new();
     relayed.record(&Name::new("one"), Duration::from_millis(1_300), at(0));
     let rule = Rule { repeat: Repeat::Once, timeout: Duration::from_secs(10), ..one() };
-    let longest = relayed.longest(&rule.name);
+    let longest = relayed.longest(&rule.name, true, at(0));
     let is_admitted = |now| stop().admits(&rule, longest, rule.timeout, at(now));
     assert!(is_admitted(2_750) && !is_admitted(2_850));
-    assert!(relayed.longest(&Name::new("other")).is_zero());
+    assert!(relayed.longest(&Name::new("other"), true, at(0)).is_zero());
 }
 
 /// A refused caller returns once the load balancer sends it elsewhere.
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -135,7 +135,8 @@
     let state = &mut *shared.state.borrow_mut();
     let stop = state.stop?;
     let rule = &query.rule;
-    let longest = state.balancer.longest_latency(rule).max(state.relayed.longest(&rule.name));
+    let relayed = state.relayed.longest(&rule.name, state.reach.is_lost(), now);
+    let longest = state.balancer.longest_latency(rule, now).max(relayed);
     let is_admitted = stop.admits(rule, longest, query.caller_timeout, now);
     (!is_admitted).then(|| stop.retry_after(now))
 }
