Look for the end of a kept connection before it is used

What callers saw: 502 for a request that ran nowhere, if the server, or the node that serves in the place of a stranded one, had closed the kept connection before the request was written.

Cause: a pooled connection was checked by what the runtime had noticed. The end, or a notice of the close, that had arrived since the runtime last looked did not count; the request was written into a closed connection, which is reset, and that can't be told from a loss.

Change: `Link::is_usable` reads from the system what the runtime has not seen, one more system call for each use and each return of a connection.

--- a/crates/direct/src/backend/limited.rs
+++ b/crates/direct/src/backend/limited.rs
@@ -11,10 +11,27 @@
     net::TcpStream,
 };
 
+use crate::wire::read_arrived;
+
 /// A connection from which only a limited number of bytes can be read.
 pub struct Limited {
     stream: TcpStream,
     allowance: Allowance,
+    examination: Examination,
+}
+
+/// Whether a connection is examined: reads see what has arrived by then, the end of the connection too.
+/// Clones share it.
+#[derive(Clone, Debug, Default)]
+pub struct Examination {
+    is_on: Rc<Cell<bool>>,
+}
+
+impl Examination {
+    /// Begins or ends the examination.
+    pub fn set(&self, is_on: bool) {
+        self.is_on.set(is_on);
+    }
 }
 
 /// The number of bytes that may still be read from a connection. Clones share it.
@@ -42,8 +59,8 @@
 
 impl Limited {
     /// Limits a connection to an allowance.
-    pub fn new(stream: TcpStream, allowance: Allowance) -> Limited {
-        Limited { stream, allowance }
+    pub fn new(stream: TcpStream, allowance: Allowance, examination: Examination) -> Limited {
+        Limited { stream, allowance, examination }
     }
 }
 
@@ -57,7 +74,10 @@
             return Poll::Ready(Err(io::Error::other("the server sent too many bytes")));
         }
         let before = buffer.filled().len();
-        let result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut result = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if result.is_pending() && self.examination.is_on.get() {
+            result = read_arrived(&self.stream, buffer);
+        }
         let read = buffer.filled().len() - before;
         let remaining = self.allowance.remaining.get();
         self.allowance.reset(remaining.saturating_sub(read));
--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpSocket;
 
 use super::{
-    limited::{Allowance, Limited},
+    limited::{Allowance, Examination, Limited},
     screen::{Filter, Screen},
 };
 
@@ -30,6 +30,7 @@
     /// `None` once the connection has ended.
     driver: Option<Driver>,
     allowance: Allowance,
+    examination: Examination,
     filter: Filter,
     /// When the connection was last used.
     pub last_used: Time,
@@ -97,11 +98,12 @@
         let stream = stream.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
         let allowance = Allowance::new(MAX_ANSWER_BYTES);
-        let filter = Filter::default();
-        let stream = Screen::new(Limited::new(stream, allowance.clone()), filter.clone());
-        let stream = TokioIo::new(stream);
+        let (examination, filter) = (Examination::default(), Filter::default());
+        let stream = Limited::new(stream, allowance.clone(), examination.clone());
+        let stream = TokioIo::new(Screen::new(stream, filter.clone()));
         let (sender, driver) = http1::handshake(stream).await.context(ExchangeSnafu)?;
-        Ok(Link { sender, driver: Some(driver), allowance, filter, last_used: now, last_id: None })
+        let driver = Some(driver);
+        Ok(Link { sender, driver, allowance, examination, filter, last_used: now, last_id: None })
     }
 
     /// Returns whether the connection has carried requests.
@@ -138,11 +140,13 @@
         result.context(ExchangeSnafu)
     }
 
-    /// Returns whether another request can be sent: the connection is open, and no data was
-    /// received that belongs to no request.
+    /// Returns whether another request can be sent: the connection is open, and no data has
+    /// arrived that belongs to no request.
     pub async fn is_usable(&mut self) -> bool {
-        let Link { sender, driver, .. } = self;
+        let Link { sender, driver, examination, .. } = self;
+        examination.set(true);
         drive(driver, async {}).await;
+        examination.set(false);
         driver.is_some() && !sender.is_closed() && sender.is_ready()
     }
 }
--- a/crates/direct/src/wire/mod.rs
+++ b/crates/direct/src/wire/mod.rs
@@ -1,9 +1,12 @@
-//! The headers of HTTP messages to and from callers and backend servers.
+//! What is exchanged with callers and backend servers: the headers of messages, and the bytes of
+//! connections.
 
+mod arrived;
 mod headers;
 mod hops;
 
 pub use self::{
+    arrived::read_arrived,
     headers::Headers,
     hops::{closes, strip},
 };
