Tell the caller of a half-sent first request of the end of its connection

What callers saw: a connection that had never carried a request, and of whose first head a part had arrived when a planned stop closed its connections, was held until the end of the process and closed without a word. The caller can't know that its request has not run, and the process can't end before.

Cause: a graceful shutdown of the HTTP server does nothing on such a connection: it goes on waiting for the rest of the head. On a connection that has carried a request it closes.

Change: when answers are due and the head is still not whole, after what has arrived was read once more, the connection is taken from the HTTP server and shut down, which writes the notice (408) and lingers like any other.

Before: closed_without_notice::first_partly_read failed, no end within 4 s with a grace time of 1 s (old code, one run). After: it passes, with the other tests of the crate (174).

--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -1,4 +1,12 @@
-use std::{borrow::Cow, cell::RefCell, convert::Infallible, io, rc::Rc, time::Duration};
+use std::{
+    borrow::Cow,
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    io,
+    pin::Pin,
+    rc::Rc,
+    time::Duration,
+};
 
 use futures_util::poll;
 use http::{HeaderValue, Request, Version};
@@ -7,6 +15,7 @@
 use mimosabridge::{plan::Limits, stop::Phase};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
+    io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
     sync::watch,
 };
@@ -90,39 +99,49 @@
     let (state, progress) = (open.state.clone(), Rc::<Progress>::default());
     let stream = Transport::new(stream, state.clone(), progress.clone());
     let stream = Linger::new(stream, progress.clone());
+    let has_request = Cell::new(false);
     let service = service_fn(async |request: Request<Incoming>| {
+        has_request.set(true);
         open.id.replace(request.headers().get(&shared.headers.request_id).cloned());
         let is_last = request.version() < Version::HTTP_11 || wire::closes(request.headers());
         let answer = serve(shared.clone(), request, origin, &progress).await;
         state.on_answer(is_last || wire::closes(answer.headers()));
         Ok::<_, Infallible>(answer)
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         // The timeout counts from the last answer, so it includes the idle time of the connection.
         .header_read_timeout(limits.idle_time + limits.head_time)
         .max_buf_size(limits.head_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = std::pin::pin!(connection);
     tokio::select! {
         // Requests that have already arrived are read before an idle connection is closed.
         biased;
         // An error of the connection matters only to the caller.
-        _ = connection.as_mut() => return,
+        _ = &mut connection => return,
         _ = phase.wait_for(|it| *it >= Some(Phase::Closing)) => {}
     }
     state.begin_close();
-    if poll!(connection.as_mut()).is_ready() {
+    if poll!(&mut connection).is_ready() {
         return;
     }
     if progress.is_partial() {
         // The connection isn't idle: it closes after the answer.
         tokio::select! {
-            _ = connection.as_mut() => return,
+            _ = &mut connection => return,
             () = shared.answers_due() => {}
         }
+        if poll!(&mut connection).is_ready() {
+            return;
+        }
+    }
+    if progress.is_partial() && !has_request.get() {
+        // The HTTP server would wait for the rest of a first head. Its caller is told that it has not run;
+        // an error matters only to that caller.
+        let _ = connection.into_parts().io.into_inner().shutdown().await;
+        return;
     }
-    connection.as_mut().graceful_shutdown();
+    Pin::new(&mut connection).graceful_shutdown();
     // An error of the connection matters only to the caller.
     let _ = connection.await;
 }
--- a/crates/direct/tests/node/closed_connections.rs
+++ b/crates/direct/tests/node/closed_connections.rs
@@ -113,6 +113,7 @@
 #[case::idle(REQUEST, "", GRACE)]
 #[case::unused("", "", GRACE)]
 #[case::partly_read(REQUEST, "GET /x HTTP/1.1\r\nhost: ", SHORT_GRACE)]
+#[case::first_partly_read("", "GET /x HTTP/1.1\r\nhost: ", SHORT_GRACE)]
 fn closed_without_notice(#[case] before: &str, #[case] part: &str, #[case] grace: Duration) {
     run(async {
         let front = Front::start().await;
