Wrap a connection of a caller once, with one state

Cause: a connection was wrapped twice, with two shared states that both followed reads and writes, so that it was hard to tell which of them said what when a planned stop closes the connection.

Change: one transport with one state, in front/connection: the state, lingering, the notice of the close and the send buffer apart. The steps of the close (open, begun, caller told) and how the caller takes the latest answer (at once, waits, had to wait) are one value each instead of two flags each. What each flag that remains means is said once. has_sent and has_answer stay apart: the first counts from the beginning of the last read, also of one that finds nothing, and holds for answers of the HTTP server too; the second counts from the last bytes that were read.

Ruled out: one value for is_partial and body_comes. A small body that nobody reads leaves an idle connection with the second alone, which would then count as busy in a stop.

One case differs, in a log line: a connection that breaks in the very step in which an answer is made while the one before waits for its caller has no line 5211. The answer's write follows in the same step otherwise.

Measured: no assertion changes.

--- a/crates/direct/src/front/accept.rs
+++ b/crates/direct/src/front/accept.rs
@@ -12,9 +12,8 @@
 };
 
 use super::{
-    linger::{Linger, Progress},
+    connection::{State, Transport},
     serve::{Origin, serve},
-    transport::{self, Transport},
 };
 use crate::{events, node::Shared, wire};
 
@@ -87,13 +86,12 @@
     // stays open longer after the caller is gone.
     let _ = stream.set_nodelay(true);
     let _ = SockRef::from(&stream).set_tcp_keepalive(&keepalive);
-    let (state, progress) = (open.state.clone(), Rc::<Progress>::default());
-    let stream = Transport::new(stream, state.clone(), progress.clone());
-    let stream = Linger::new(stream, progress.clone());
+    let state = open.state.clone();
+    let stream = Transport::new(stream, state.clone());
     let service = service_fn(async |request: Request<Incoming>| {
         open.id.replace(request.headers().get(&shared.headers.request_id).cloned());
         let is_last = request.version() < Version::HTTP_11 || wire::closes(request.headers());
-        let answer = serve(shared.clone(), request, origin, &progress).await;
+        let answer = serve(shared.clone(), request, origin, &state).await;
         state.on_answer(is_last || wire::closes(answer.headers()));
         Ok::<_, Infallible>(answer)
     });
@@ -115,7 +113,7 @@
     if poll!(connection.as_mut()).is_ready() {
         return;
     }
-    if progress.is_partial() {
+    if state.is_partial() {
         // The connection isn't idle: it closes after the answer.
         tokio::select! {
             _ = connection.as_mut() => return,
@@ -148,7 +146,7 @@
 /// Counts a connection as open until dropped.
 struct Open {
     shared: Rc<Shared>,
-    state: Rc<transport::State>,
+    state: Rc<State>,
     /// The identity of the latest request.
     id: RefCell<Option<HeaderValue>>,
 }
--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -1,13 +1,12 @@
 //! The HTTP server for callers.
 
 mod accept;
+mod connection;
 mod drive;
 mod evidence;
 mod incoming;
-mod linger;
 mod relay;
 mod respond;
 mod serve;
-mod transport;
 
 pub use self::{accept::accept, serve::Origin};
--- a/crates/direct/src/front/serve.rs
+++ b/crates/direct/src/front/serve.rs
@@ -5,9 +5,9 @@
 use mimosabridge::plan::Rule;
 
 use super::{
+    connection::State,
     drive::drive,
     incoming::{self, Query, Rejection},
-    linger::Progress,
     relay::NOT_SERVED,
     respond::{self, Answer},
 };
@@ -43,11 +43,11 @@
     shared: Rc<Shared>,
     request: Request<Incoming>,
     origin: Origin,
-    progress: &Progress,
+    connection: &State,
 ) -> Answer {
     let running = Running::new(shared.clone());
     let id = request.headers().get(&shared.headers.request_id).cloned();
-    let mut answer = match answer(&shared, request, origin, progress).await {
+    let mut answer = match answer(&shared, request, origin, connection).await {
         Ok(answer) => answer,
         Err(mut answer) => {
             if origin == Origin::Node {
@@ -73,10 +73,10 @@
     shared: &Rc<Shared>,
     request: Request<Incoming>,
     origin: Origin,
-    progress: &Progress,
+    connection: &State,
 ) -> Result<Answer, Answer> {
     let (head, body) = request.into_parts();
-    progress.set_whole(body.is_end_stream());
+    connection.set_whole(body.is_end_stream());
     let id = id(&head, shared);
     let Some(plan) = shared.plan() else {
         events::REFUSED.emit(&[("id", &id), ("reason", &"no configuration is known yet")]);
@@ -97,7 +97,7 @@
         Ok(query) => query,
         Err(rejection) => return Err(reject(&id, plan.version(), Some(&rule), rejection)),
     };
-    progress.set_whole(true);
+    connection.set_whole(true);
     let now = shared.now();
     let log_refused = |reason: &str| {
         events::REFUSED.emit(&[
