Learn once a process how long a send buffer the system grants

Cause: for each connection whose answer waits while the node closes its connections, a socket was opened just to ask what the system grants. That costs a descriptor each time, in a stop.

Change: the answer is kept for the process. An error is not kept: the next connection asks again. A change of the system's setting while the process runs is not seen any more.

--- a/crates/direct/src/front/connection/send_buffer.rs
+++ b/crates/direct/src/front/connection/send_buffer.rs
@@ -1,4 +1,4 @@
-use std::io;
+use std::{io, sync::OnceLock};
 
 use socket2::{Domain, SockRef, Socket, Type};
 use tokio::net::TcpStream;
@@ -8,13 +8,24 @@
 const LAST_SEND_BUFFER_BYTES: usize = 1_024 * 1_024;
 
 /// Has the system hold as much of an answer as it can: it sends that also after the end of the process.
-/// The system may grant less than is wanted, and must not shrink a buffer that it has raised itself.
+/// A buffer that the system has raised itself further than it grants is left as it is.
 pub fn raise(stream: &TcpStream) -> io::Result<()> {
     let socket = SockRef::from(stream);
-    let probe = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    probe.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)?;
-    if socket.send_buffer_size()? < probe.send_buffer_size()? {
+    if socket.send_buffer_size()? < granted_bytes()? {
         socket.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)?;
     }
     Ok(())
 }
+
+/// Returns what the system grants a connection that asks for such a buffer, which may be less. It is
+/// learned once a process.
+fn granted_bytes() -> io::Result<usize> {
+    static GRANTED_BYTES: OnceLock<usize> = OnceLock::new();
+    if let Some(bytes) = GRANTED_BYTES.get() {
+        return Ok(*bytes);
+    }
+    let probe = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    probe.set_send_buffer_size(LAST_SEND_BUFFER_BYTES)?;
+    let bytes = probe.send_buffer_size()?;
+    Ok(*GRANTED_BYTES.get_or_init(|| bytes))
+}
