Test that a stopped gate drops no call that it took or that waits

A reviewer called stopping_nodes::late_call_dropped weak, and rightly so.

Change: a call that the gate took and that ends without an item fails the test; the bound stays. waiting_call_dropped is new: a call that waits right behind the message of the stop is refused. The order of the two is given, not timed.

--- a/crates/node/tests/fleet/stopping_nodes.rs
+++ b/crates/node/tests/fleet/stopping_nodes.rs
@@ -1,6 +1,10 @@
 //! Calls to a node that stops, from nodes that don't know it yet, and callers that don't finish.
 
-use std::{pin::pin, time::Duration};
+use std::{
+    pin::pin,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 use futures_util::future::{Either, join, select};
 use jsonrpsee::{
@@ -10,21 +14,30 @@
 use mimosabridge::{
     config::Class,
     fingerprint::Fingerprint,
+    gate::Settings,
     name::Name,
     outcome::{Outcome, Refusal},
+    place::Placement,
+    quarantine::List,
     query::Verdict,
     wire::{Call, SubRequest},
 };
 use mimosabridge_node::{
+    clock::Clock,
     entry::{HomeClient, Request},
-    gate::GateClient,
+    fleet::{Connectivity, View},
+    gate::{self, GateClient},
+    metrics::Metrics,
     node::Node,
+    timer,
+    trace::Tracer,
 };
 use mimosabridge_standin::server::Spec;
 use serde_json::value::RawValue;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
+    sync::{mpsc, oneshot, watch},
 };
 
 use crate::env::Fleet;
@@ -82,10 +95,10 @@
                         refused += items.iter().filter(|it| is_refused(&it.outcome)).count();
                     }
                     Some(Err(error)) => panic!("the items can't be read: {error}"),
-                    // The connection has been closed.
-                    None => break,
+                    None => panic!("the gate took call {id} and dropped it"),
                 },
                 Err(Error::Call(_)) => refused += 1,
+                // The connection has been closed.
                 Err(_) => break,
             }
             tokio::time::sleep(Duration::from_millis(10)).await;
@@ -96,6 +109,34 @@
     assert!(refused > 0, "the gate takes calls while it stops, and drops them");
 }
 
+/// Guards against a call that waits behind the last message of a stop and ends without a word.
+#[tokio::test]
+async fn waiting_call_dropped() {
+    let (fleet, _reports) = mpsc::unbounded_channel();
+    let (_views, view) = watch::channel(Arc::new(View::default()));
+    let gate = gate::Actor::start(gate::Parts {
+        name: Name::from("gate-a"),
+        settings: Settings::new(),
+        placement: Placement::Primary,
+        timer: timer::Service::start(Clock::new()),
+        view,
+        connectivity: Connectivity::new(),
+        quarantine: Arc::new(Mutex::new(List::new())),
+        metrics: Metrics::new(),
+        tracer: Tracer::new(),
+        fleet,
+    });
+    let (done, finished) = oneshot::channel();
+    let (items, mut answers) = mpsc::unbounded_channel();
+    // The gate does not run before both have been sent.
+    gate.send(gate::Message::Stop(done)).expect("the gate takes messages");
+    gate.send(gate::Message::Call(call(0), items)).expect("the gate takes messages");
+    finished.await.expect("the gate has no work");
+    let item = answers.recv().await.expect("the call gets a word");
+    let outcome = item.outcome;
+    assert!(matches!(outcome, Outcome::Refused(Refusal::GateLeaving)), "{outcome:?}");
+}
+
 /// Guards against a stop that waits without end for a caller that doesn't finish its request.
 #[tokio::test]
 async fn half_request_awaited() {
