--- a/crates/direct/src/front/mod.rs
+++ b/crates/direct/src/front/mod.rs
@@ -1,14 +1,13 @@
 //! The HTTP server for callers.
 
 mod accept;
+mod connection;
 mod drive;
 mod evidence;
 mod incoming;
-mod linger;
 mod notices;
 mod relay;
 mod respond;
 mod serve;
-mod transport;
 
 pub use self::{accept::accept, serve::Origin};
