--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -5,6 +5,7 @@
 mod full_connections;
 mod model;
 mod news_fleet;
+mod production;
 
 mod budget_window;
 mod choice_of_server;
@@ -23,6 +24,7 @@
 mod lost_servers;
 mod merged_records;
 mod mirror_updates;
+mod old_codecs;
 mod planned_stop;
 mod recorded_packets;
 mod relayed_requests;
--- a/crates/core/tests/direct/recorded_packets.rs
+++ b/crates/core/tests/direct/recorded_packets.rs
@@ -56,10 +56,17 @@
     ]
 }
 
-fn hex(packet: &Packet) -> String {
+/// Returns the bytes of a packet in hexadecimal digits.
+pub fn hex(packet: &Packet) -> String {
     packet.encode().iter().map(|it| format!("{it:02x}")).collect()
 }
 
+/// Returns the bytes that hexadecimal digits stand for.
+pub fn unhex(digits: &str) -> Vec<u8> {
+    let byte = |it| u8::from_str_radix(&digits[2 * it..2 * it + 2], 16).expect("is hex");
+    (0..digits.len() / 2).map(byte).collect()
+}
+
 /// The packets as commit ff76222 encodes them.
 const RECORDED: [&str; 8] = [
     "04612d303301610100007f000001eb07007f000001d30f0100000029000102d83602d8360c0e0103f8acd191\
@@ -87,9 +94,6 @@
     assert_eq!(packets.len(), RECORDED.len());
     for (packet, recorded) in packets.iter().zip(RECORDED) {
         assert_eq!(hex(packet), recorded, "{:?}", packet.kind);
-        let bytes: Vec<_> = (0..recorded.len() / 2)
-            .map(|it| u8::from_str_radix(&recorded[2 * it..2 * it + 2], 16).expect("is hex"))
-            .collect();
-        assert_eq!(Packet::decode(&bytes).as_ref(), Some(packet));
+        assert_eq!(Packet::decode(&unhex(recorded)).as_ref(), Some(packet));
     }
 }
