Read a packet of a later build as far as it is known

What callers saw: nothing yet; it would come with the first build that adds a kind of news. A node that met one kind of news, evidence, restriction or packet that it didn't know dropped the whole packet, with its probe answer. In the middle of a replacement the nodes of the earlier build would have taken those of the later one for dead, or would never have met them, and each part of the fleet would have used the limits of servers alone.

Cause: packets are positional, and an enum of postcard ends the decoding at a number that it doesn't know.

Change: what a later build adds stands behind the packet as items with lengths, closed by a hash of the whole datagram (member::extension). With a hash that matches, unknown kinds are passed over: the items around them are read, and so is the packet up to its first unknown kind; of a packet of an unknown kind the sender and the items (member::Datagram). Without one a packet is read to its last byte or not at all; bytes behind a packet that are no extension, passed over before, now drop it. What was passed over is counted (mimosabridge_unknown_total) and logged with the sender (5124, 1006), one line in 10 s at most. What this build sends is unchanged.

--- a/crates/core/src/member/mod.rs
+++ b/crates/core/src/member/mod.rs
@@ -6,7 +6,9 @@
 //! fleet.
 
 mod action;
+mod datagram;
 mod detector;
+mod extension;
 mod helpers;
 mod herald;
 mod mark;
@@ -19,9 +21,11 @@
 mod roster;
 mod settings;
 mod size_estimator;
+mod unknown;
 
 pub use self::{
     action::Action,
+    datagram::{Content, Datagram},
     detector::Detector,
     mark::Mark,
     news::News,
@@ -32,4 +36,5 @@
     roster::{Effect, Roster},
     settings::Settings,
     size_estimator::SizeEstimator,
+    unknown::Unknown,
 };
--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -1,6 +1,6 @@
 use serde::{Deserialize, Serialize};
 
-use super::{News, Record};
+use super::{Content, Datagram, News, Record};
 use crate::{config::Stamp, feed::Progress};
 
 /// The largest size of an encoded packet.
@@ -54,9 +54,13 @@
         postcard::to_allocvec(self).expect("a packet has no type that postcard refuses")
     }
 
-    /// Decodes a packet. Returns nothing if the bytes are not a valid packet.
+    /// Decodes a packet like [`Datagram::decode`]. Returns nothing if the bytes are damaged, or if the
+    /// kind of the packet is unknown.
     pub fn decode(bytes: &[u8]) -> Option<Packet> {
-        postcard::from_bytes(bytes).ok()
+        match Datagram::decode(bytes)?.content {
+            Content::Packet(packet) => Some(*packet),
+            Content::News(_) => None,
+        }
     }
 
     /// Returns whether the packet probes a node or answers a probe. Such packets go to all nodes in
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -229,6 +229,27 @@
         actions
     }
 
+    /// Handles what could be read of a packet of an unknown kind.
+    pub(super) fn on_unknown_kind(
+        &mut self,
+        sender: &Record,
+        news: Vec<News>,
+        now: Time,
+        rng: &mut impl Rng,
+    ) -> Vec<Action> {
+        self.now = now;
+        if sender.name == self.own.name {
+            return Vec::new();
+        }
+        self.last_received = Some(now);
+        let effect = self.merge_record(sender.clone(), now);
+        let mut actions = self.on_news(news, sender, now, rng);
+        if effect == Effect::Change {
+            actions.push(Action::Changed);
+        }
+        actions
+    }
+
     /// Runs the probes and timeouts that are due. Call it several times per
     /// [`Settings::ack_timeout`].
     pub fn tick(&mut self, now: Time, rng: &mut impl Rng) -> Vec<Action> {
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -61,6 +61,8 @@
 pub const SERVER_LEAVING: Event = Event::new(5122, Level::Info, "backend server leaves");
 /// A server has said that it wants no requests of this node for some time.
 pub const SERVER_RESTING: Event = Event::new(5123, Level::Info, "backend server rests");
+/// Kinds or fields that this build doesn't know were passed over in messages of other nodes.
+pub const UNKNOWN: Event = Event::new(5124, Level::Info, "unknown content passed over");
 /// A server has stated a limit on its requests, or no longer states one.
 pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
 
@@ -117,6 +119,7 @@
     SCOUT_FAILED,
     SERVER_LEAVING,
     SERVER_RESTING,
+    UNKNOWN,
     SERVED,
     PARTIAL,
     REFUSED,
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -51,6 +51,8 @@
     pub store_failures: IntCounter,
     /// The number of bytes in packets to other nodes.
     pub peer_bytes: IntCounter,
+    /// What this build doesn't know and has passed over, by the kind of message.
+    pub unknown: IntCounterVec,
 }
 
 impl Metrics {
@@ -89,6 +91,11 @@
             store_calls: counter("store_calls_total", "Calls to the platform's store."),
             store_failures: counter("store_failures_total", "Store calls that failed."),
             peer_bytes: counter("peer_bytes_sent_total", "Bytes to other nodes."),
+            unknown: counters(
+                "unknown_total",
+                "Unknown kinds and fields passed over in messages of other nodes.",
+                &["message"],
+            ),
         };
         metrics.register();
         metrics
@@ -116,7 +123,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 20] = [
+        let collectors: [Box<dyn Collector>; 21] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.attempts.clone()),
@@ -137,6 +144,7 @@
             Box::new(self.store_calls.clone()),
             Box::new(self.store_failures.clone()),
             Box::new(self.peer_bytes.clone()),
+            Box::new(self.unknown.clone()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("every metric has its own name");
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -13,6 +13,7 @@
     directory::Change,
     feed::{Event, Mirror, Position},
     fingerprint::Fingerprint,
+    member::Unknown,
     plan::Plan,
     quarantine::{Detector, List, Sign},
     reach::{Latencies, Reach, Status},
@@ -79,6 +80,8 @@
     pub stop: Option<Stop>,
     /// The requests in progress and the open connections of those who send them.
     pub load: Load,
+    /// The count of what was passed over in messages of other nodes, for the log.
+    pub unknown: Unknown,
 }
 
 impl State {
@@ -108,6 +111,7 @@
                 unpushed_contents: BTreeSet::new(),
                 stop: None,
                 load: Load::default(),
+                unknown: Unknown::new(),
             }),
             metrics: Metrics::new(),
             is_ready: Arc::new(AtomicBool::new(false)),
@@ -167,6 +171,14 @@
         }
     }
 
+    /// Counts what this node doesn't know and has passed over in a message of another node.
+    pub fn on_unknown(&self, sender: &dyn std::fmt::Display, message: &str, count: u32) {
+        self.metrics.unknown.with_label_values(&[message]).inc_by(count.into());
+        let due = self.state.borrow_mut().unknown.add(count, self.now());
+        let Some(count) = due else { return };
+        events::UNKNOWN.emit(&[("sender", sender), ("message", &message), ("count", &count)]);
+    }
+
     /// Updates whether callers should be sent to this node.
     pub fn refresh_ready(&self) {
         let state = self.state.borrow();
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -8,7 +8,7 @@
 
 use mimosabridge::{
     feed::{Lag, Progress, Scout, Selector, Upstream},
-    member::{Action, Packet, Peer, Record, SizeEstimator, State},
+    member::{Action, Datagram, Peer, Record, SizeEstimator, State},
     name::Name,
     time::Time,
 };
@@ -210,8 +210,8 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         tokio::select! {
-            Ok((length, _)) = inner.socket.recv_from(&mut buffer) => {
-                inner.on_datagram(&buffer[..length]);
+            Ok((length, sender)) = inner.socket.recv_from(&mut buffer) => {
+                inner.on_datagram(&buffer[..length], sender);
             }
             Some((question, sender)) = inbox.recv() => inner.on_question(question, sender),
             Some(tick) = ticks.recv() => inner.on_tick(tick),
@@ -221,17 +221,19 @@
 }
 
 impl Inner {
-    fn on_datagram(&self, bytes: &[u8]) {
-        let Some(packet) = Packet::decode(bytes) else {
+    fn on_datagram(&self, bytes: &[u8], sender: SocketAddr) {
+        let Some(datagram) = Datagram::decode(bytes) else {
             events::TROUBLE.emit(&[
                 ("operation", &"decode a packet"),
+                ("peer", &sender),
                 ("error", &format_args!("{} bytes are not a valid packet", bytes.len())),
             ]);
             return;
         };
+        self.shared.on_unknown(&datagram.sender.name, "packet", datagram.unknown);
         let now = self.shared.now();
         let rng = &mut *self.rng.borrow_mut();
-        let actions = self.peer.borrow_mut().on_packet(packet, now, rng);
+        let actions = self.peer.borrow_mut().on_datagram(datagram, now, rng);
         self.act(actions);
     }
 
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -69,6 +69,7 @@
 pub struct Node {
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    pub metrics: SocketAddr,
     /// The snapshot that the store returns next.
     pub published: Rc<RefCell<Snapshot>>,
     /// The address on which this node receives packets of other nodes.
@@ -110,13 +111,14 @@
     ) -> Node {
         let watches = Rc::new(Cell::new(0));
         let own = own_address();
-        let [front, ready, peer, rpc] = [1, 2, 3, 4].map(|it| SocketAddr::new(own, BASE_PORT + it));
+        let [front, ready, peer, rpc, metrics] =
+            [1, 2, 3, 4, 5].map(|it| SocketAddr::new(own, BASE_PORT + it));
         let settings = Settings {
             name: Name::new(name),
             data_centre: Name::new("a"),
             front,
             ready,
-            metrics: None,
+            metrics: Some(metrics),
             peer,
             rpc,
             seeds,
@@ -130,7 +132,7 @@
         tokio::task::spawn_local(async move {
             node::run(settings, 1).await.expect("the node starts");
         });
-        let node = Node { front, ready, published, peer, watches };
+        let node = Node { front, ready, metrics, published, peer, watches };
         while get(node.ready, "/ready").await.is_none_or(|it| it.status != 200) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod followed_reader;
 mod invalid_answers;
 mod invalid_requests;
+mod later_builds;
 mod leaving_servers;
 mod packed_updates;
 mod passed_over_copies;
--- a/crates/node/src/events/mod.rs
+++ b/crates/node/src/events/mod.rs
@@ -13,6 +13,8 @@
 pub const NODE_PAUSED: Event = Event::new(1004, Level::Warn, "process slept");
 /// A node has lost or regained contact with the rest of the system.
 pub const NODE_ISOLATED: Event = Event::new(1005, Level::Warn, "contact changed");
+/// Kinds or fields that this build doesn't know were passed over in packets of other nodes.
+pub const UNKNOWN: Event = Event::new(1006, Level::Info, "unknown content passed over");
 /// The connection to a gate was opened.
 pub const GATE_CONNECTED: Event = Event::new(2001, Level::Info, "connected to gate");
 /// A gate is unreachable, or the connection to it was lost.
@@ -38,6 +40,7 @@
     NODE_STOPPED,
     NODE_PAUSED,
     NODE_ISOLATED,
+    UNKNOWN,
     GATE_CONNECTED,
     GATE_UNREACHABLE,
     CONFIG_ACCEPTED,
--- a/crates/node/src/fleet/actor.rs
+++ b/crates/node/src/fleet/actor.rs
@@ -8,7 +8,7 @@
 use mimosabridge::{
     config::{Bundle, Chain, Head, History, Origin, Stamp, Step, Verdict},
     fingerprint::Fingerprint,
-    member::{Action, News, Packet, Peer, Record, State},
+    member::{Action, Datagram, News, Peer, Record, State, Unknown},
     name::Name,
     place,
     quarantine::{Crash, Effect, Evidence, List},
@@ -97,6 +97,7 @@
     conflicts: BTreeSet<Stamp>,
     /// Whether the roster has changed since the last view.
     is_changed: bool,
+    unknown: Unknown,
     started: Time,
 }
 
@@ -134,6 +135,7 @@
             leaving: BTreeMap::new(),
             conflicts: BTreeSet::new(),
             is_changed: false,
+            unknown: Unknown::new(),
             started: now,
         };
         (outbox, tokio::spawn(actor.run()))
@@ -160,13 +162,20 @@
 
     fn on_datagram(&mut self, bytes: &[u8]) {
         self.metrics.bytes_received.inc_by(bytes.len() as u64);
-        let Some(packet) = Packet::decode(bytes) else { return };
+        let Some(datagram) = Datagram::decode(bytes) else { return };
         let now = self.timer.now();
         self.connectivity.record_contact(now);
-        let actions = self.peer.on_packet(packet, now, &mut self.rng);
+        self.on_unknown(&datagram, now);
+        let actions = self.peer.on_datagram(datagram, now, &mut self.rng);
         self.act(actions);
     }
 
+    fn on_unknown(&mut self, datagram: &Datagram, now: Time) {
+        self.metrics.unknown.inc_by(datagram.unknown.into());
+        let Some(count) = self.unknown.add(datagram.unknown, now) else { return };
+        events::UNKNOWN.emit(&[("sender", &datagram.sender.name), ("count", &count)]);
+    }
+
     fn on_tick(&mut self, tick: timer::Tick) {
         let now = tick.now;
         if tick.late >= PAUSE_LIMIT {
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -45,6 +45,8 @@
     pub bytes_sent: IntCounter,
     /// The number of bytes in packets received from other nodes.
     pub bytes_received: IntCounter,
+    /// The number of kinds, news items and fields that this build doesn't know and has passed over.
+    pub unknown: IntCounter,
     /// The number of contents that are suspected of a crash.
     pub suspect_contents: IntGauge,
 }
@@ -73,6 +75,7 @@
             packets_sent: counter("peer_packets_sent_total", "Packets to other nodes."),
             bytes_sent: counter("peer_bytes_sent_total", "Bytes to other nodes."),
             bytes_received: counter("peer_bytes_received_total", "Bytes from other nodes."),
+            unknown: counter("unknown_total", "Unknown kinds and fields passed over."),
             suspect_contents: gauge("suspect_contents", "Contents held against a crash."),
             registry,
         };
@@ -113,7 +116,7 @@
     }
 
     fn register(&self) {
-        let collectors: [Box<dyn Collector>; 14] = [
+        let collectors: [Box<dyn Collector>; 15] = [
             Box::new(self.answers.clone()),
             Box::new(self.latency.clone()),
             Box::new(self.shards.clone()),
@@ -127,6 +130,7 @@
             Box::new(self.packets_sent.clone()),
             Box::new(self.bytes_sent.clone()),
             Box::new(self.bytes_received.clone()),
+            Box::new(self.unknown.clone()),
             Box::new(self.suspect_contents.clone()),
         ];
         for collector in collectors {
