--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -3,8 +3,10 @@
 
 mod fixture;
 mod full_connections;
+mod later_build;
 mod model;
 mod news_fleet;
+mod production;
 
 mod aged_latencies;
 mod budget_window;
@@ -13,6 +15,7 @@
 mod counted_nodes;
 mod crash_evidence;
 mod crash_spread;
+mod damaged_packets;
 mod few_hedges;
 mod final_answer;
 mod grace_times;
@@ -24,9 +27,11 @@
 mod lost_servers;
 mod merged_records;
 mod mirror_updates;
+mod old_codecs;
 mod planned_stop;
 mod recorded_packets;
 mod relayed_requests;
+mod replaced_fleet;
 mod resting_servers;
 mod restored_fleet;
 mod restored_store;
@@ -36,5 +41,6 @@
 mod stated_limits;
 mod store_reads;
 mod suspect_content;
+mod unknown_kinds;
 mod unproven_content;
 mod upstream_choice;
--- a/crates/node/src/events/mod.rs
+++ b/crates/node/src/events/mod.rs
@@ -15,6 +15,8 @@
 pub const NODE_ISOLATED: Event = Event::new(1005, Level::Warn, "contact changed");
 /// A signal asked to read the settings again, which are options.
 pub const NOTHING_TO_RELOAD: Event = Event::new(1006, Level::Info, "no settings to read again");
+/// Kinds or fields that this build doesn't know were passed over in packets of other nodes.
+pub const UNKNOWN: Event = Event::new(1007, Level::Info, "unknown content passed over");
 /// The connection to a gate was opened.
 pub const GATE_CONNECTED: Event = Event::new(2001, Level::Info, "connected to gate");
 /// A gate is unreachable, or the connection to it was lost.
@@ -41,6 +43,7 @@
     NODE_PAUSED,
     NODE_ISOLATED,
     NOTHING_TO_RELOAD,
+    UNKNOWN,
     GATE_CONNECTED,
     GATE_UNREACHABLE,
     CONFIG_ACCEPTED,
