Pass over facts of unknown kinds in the updates of other nodes

What callers saw: nothing yet; it would come with the first build that adds a kind of fact. A follower or a node without the store that asked a node of that build could not read its reply at all, so that it lacked every change, or each node of the earlier build read the store for itself while nodes were replaced.

Cause: serde fails at an unknown variant, and with it the whole reply. Unknown fields were passed over before; a test says so now.

Ruled out: to pass over facts of known kinds that can't be read, too. The position of the update says that the node knows everything up to there, so that a server or a configuration would be missing without a sign, or the reader would answer again and again with a configuration that the follower can't read. Such a reply fails as before, and the node asks the next reader, at last the store.

Change: facts are read one by one; one of an unknown kind becomes Fact::Unknown, which the mirror ignores and doesn't pass on. Unknown fields are not counted.

The count on its way from a whole node's reply to the metric has no test.

--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -193,7 +193,7 @@
                     closed.insert(data_centre);
                 }
                 Fact::Lapsed(id) => lapsed.push(id),
-                Fact::Gone(_) | Fact::Opened(_) => {}
+                Fact::Gone(_) | Fact::Opened(_) | Fact::Unknown(_) => {}
             }
         }
         if position < self.position {
@@ -233,8 +233,11 @@
         let mut facts = Vec::with_capacity(delta.facts.len());
         for fact in delta.facts {
             let fact = classify(balancer.directory(), fact, now);
-            facts.push(fact.clone());
+            if !matches!(fact, Fact::Unknown(_)) {
+                facts.push(fact.clone());
+            }
             let change = match fact {
+                Fact::Unknown(_) => None,
                 Fact::Plan(spec) => {
                     events.extend(self.apply_plan(spec, after.era));
                     None
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -21,6 +21,7 @@
 mod hung_readers;
 mod lapsed_entries;
 mod late_news;
+mod later_updates;
 mod leaving_servers;
 mod load_patterns;
 mod lost_servers;
--- a/crates/core/tests/direct/old_codecs.rs
+++ b/crates/core/tests/direct/old_codecs.rs
@@ -92,7 +92,7 @@
 }
 
 /// Returns an update with facts of every kind.
-fn update() -> Update {
+pub fn update() -> Update {
     let services: Vec<Service> = vec![service("one", 5.0), service("two", 0.0)];
     let spec = Spec { version: 12, limits: Limits::default(), rules: rules(), services };
     let cold =
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -94,6 +94,7 @@
     address: SocketAddr,
     age: Duration,
 ) {
+    shared.on_unknown(&address, "update", update.unknown());
     let changes =
         shared.update_mirror(|mirror, balancer, now| mirror.apply(known, update, balancer, now));
     let position = shared.state.borrow().mirror.position();
--- a/crates/direct/tests/node/packed_updates.rs
+++ b/crates/direct/tests/node/packed_updates.rs
@@ -1,7 +1,7 @@
 //! Updates of the published facts as nodes send them to one another.
 
 use mimosabridge::{
-    feed::{Fact, Position, Snapshot, Update},
+    feed::{Fact, Position, Progress, Snapshot, Update},
     name::Name,
     plan::{Limits, Repeat, Rule, Spec, Target},
 };
@@ -65,3 +65,54 @@
     let reply: Reply = serde_json::from_str(reply).expect("the reply is read");
     assert!(reply.unpacked().expect("nothing is packed").told.is_none());
 }
+
+/// Guards against calls between nodes of two versions that fail: the later one adds fields and kinds of
+/// facts.
+#[test]
+fn later_version() {
+    let position = r#"{"era":0,"revision":4,"later":1}"#;
+    let question = format!(
+        r#"{{"later":[1],"progress":{{"position":{position},"urgent":{position},"version":3,"later":1}},
+        "is_away":false,"wait_millis":0,"accepts_packed":true,"accepts_later":true}}"#
+    );
+    let question: Question = serde_json::from_str(&question).expect("the question is read");
+    assert!(question.accepts_packed);
+    let facts = r#"[{"Frozen":{"x":1}},{"Closed":"b"}]"#;
+    let reply = format!(
+        r#"{{"later":{{"x":1}},"contact_age_millis":4,"is_away":false,
+        "told":{{"Since":{{"position":{position},"facts":{facts}}}}}}}"#
+    );
+    let reply: Reply = serde_json::from_str(&reply).expect("the reply is read");
+    let told = reply.unpacked().expect("nothing is packed").told.expect("there is an update");
+    let Update::Since(snapshot) = &told else { panic!("the update is a delta") };
+    assert_eq!(snapshot.position, Position::new(0, 4));
+    assert!(snapshot.facts.contains(&Fact::Closed(Name::new("b"))));
+    assert_eq!(told.unknown(), 1);
+}
+
+/// What this build asks and answers, as the build in production (commit ff76222) reads it.
+#[test]
+fn read_by_production() {
+    #[derive(serde::Deserialize)]
+    struct OldQuestion {
+        progress: Progress,
+        is_away: bool,
+        wait_millis: u64,
+    }
+    #[derive(serde::Deserialize)]
+    struct OldReply {
+        contact_age_millis: u64,
+        is_away: bool,
+        told: Option<Update>,
+    }
+    let progress = Progress { version: 7, ..Progress::default() };
+    let question = Question { progress, is_away: true, wait_millis: 9, accepts_packed: true };
+    let text = serde_json::to_string(&question).expect("the question can be written");
+    let old: OldQuestion = serde_json::from_str(&text).expect("the question is read");
+    assert_eq!((old.progress, old.is_away, old.wait_millis), (progress, true, 9));
+    let told = Some(update(3));
+    let reply = Reply { contact_age_millis: 4, is_away: true, told: told.clone(), packed: None };
+    let text = serde_json::to_string(&reply).expect("the reply can be written");
+    let old: OldReply = serde_json::from_str(&text).expect("the reply is read");
+    assert_eq!((old.contact_age_millis, old.is_away, old.told), (4, true, told));
+}
