Test that long updates of later builds are read, too

Long updates come packed, through another reader than short ones; facts of unknown kinds in them had no test. The test holds on the code as it is; it is a guard, not a mend.

--- a/crates/direct/tests/node/packed_updates.rs
+++ b/crates/direct/tests/node/packed_updates.rs
@@ -1,12 +1,15 @@
 //! Updates of the published facts as nodes send them to one another.
 
+use std::{io::Write, time::Duration};
+
+use base64::{Engine, engine::general_purpose::STANDARD};
+use flate2::{Compression, write::DeflateEncoder};
 use mimosabridge::{
     feed::{Fact, Position, Progress, Snapshot, Update},
     name::Name,
     plan::{Limits, Repeat, Rule, Spec, Target},
 };
 use mimosabridge_direct::peers::{Question, Reply, pack, unpack};
-use std::time::Duration;
 
 fn update(rules: usize) -> Update {
     let rule = |number| Rule {
@@ -90,6 +93,23 @@
     assert_eq!(told.unknown(), 1);
 }
 
+/// Guards against a long update that is dropped because a later build has added a kind of fact.
+#[test]
+fn later_version_packed() {
+    let known = r#"{"Closed":"b"}"#;
+    let position = r#"{"era":0,"revision":4}"#;
+    let json = format!(
+        r#"{{"All":{{"position":{position},"later":1,"facts":[{{"Frozen":[1]}},{known},"Paused"]}}}}"#
+    );
+    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
+    encoder.write_all(json.as_bytes()).expect("memory can be written");
+    let text = STANDARD.encode(encoder.finish().expect("memory can be written"));
+    let update = unpack(&text).expect("the update is read");
+    assert_eq!(update.unknown(), 2);
+    let Update::All(snapshot) = update else { panic!("the update holds all facts") };
+    assert!(snapshot.facts.contains(&Fact::Closed(Name::new("b"))));
+}
+
 /// What this build asks and answers, as the build in production (commit ff76222) reads it.
 #[test]
 fn read_by_production() {
