Give a free connection to the oldest caller that waits

What callers saw: at a node whose connections are all in use, a connection that became free was unused for up to 25 ms, or went to a later caller than the one that waited for it first; the earlier one was refused at a fifth of its objective. One whose deadline could no longer be met took a connection from others and got 504.

Cause: each request looked for a connection every 25 ms since its own arrival, in no order. Only new requests stood behind those that waited; hedges did not.

Ruled out: a shorter interval, which costs wake-ups and keeps the disorder; reserving a connection for the request that is woken, which must be given back when that one leaves.

Change: balance::turn decides whose turn it is: the oldest request that waits, but one whose answer would come after its soft deadline comes last; hedges take only connections for which nobody waits; retries, which can't wait, go first. The driver asks after each decision and each change of the directory, of the number of nodes and of limits, and wakes those that are named. The answer depends on the present state alone, so that no wake-up is lost with a request that leaves. A request looks by itself only when a server is known to take more (end of a rest, of a backoff, next credit). A request that would have to wait and then be answered late is refused at once; one that finds a connection free is sent as before.

--- a/crates/core/src/scatter/mod.rs
+++ b/crates/core/src/scatter/mod.rs
@@ -13,6 +13,7 @@
 mod shard;
 mod timing;
 mod verdict;
+mod wait;
 
 pub use self::{
     action::Action,
--- a/crates/core/tests/direct/full_connections.rs
+++ b/crates/core/tests/direct/full_connections.rs
@@ -8,11 +8,13 @@
 use mimosabridge::{
     plan::Target,
     scatter::{Attempt, End, Run, Verdict},
-    time::Time,
 };
 use rstest::rstest;
 
-use crate::fixture::{Node, at, entry, gather, rule, sends, service, verdict};
+use crate::{
+    fixture::{Node, at, entry, gather, rule, sends, service, verdict},
+    model::Callers,
+};
 
 /// The nodes that share the 46 connections of a server, so that each has two.
 const NODES: u32 = 16;
@@ -48,42 +50,23 @@
 }
 
 /// Replays callers that arrive at these times, at two servers with two connections each.
-fn replay(node: &mut Node, arrivals: &[u64]) -> Outcome {
-    let mut outcome = Outcome::default();
-    let mut runs: Vec<(u64, Run, Vec<Attempt>, Time)> = Vec::new();
+fn replay(node: Node, arrivals: &[u64]) -> Outcome {
+    let mut callers = Callers::new(node, Duration::from_millis(WORK_MILLIS));
     for millis in 0..2_000 {
         for _ in arrivals.iter().filter(|it| **it == millis) {
-            let (run, attempts, verdict) = start(node, "one", millis);
-            match verdict {
-                Some(Verdict::Refuse(_)) => outcome.refused.push(millis),
-                _ => {
-                    let next = run.next_timer(at(millis));
-                    runs.push((millis, run, attempts, next));
-                }
-            }
+            callers.arrive("one", Duration::from_secs(2), millis);
         }
-        for (arrived, run, attempts, next) in &mut runs {
-            let now = at(millis);
-            let is_done = |it: &mut Attempt| it.sent + Duration::from_millis(WORK_MILLIS) <= now;
-            let mut actions = Vec::new();
-            for done in attempts.extract_if(.., is_done).collect::<Vec<_>>() {
-                actions.extend(run.on_end(done.number, End::Served, &mut node.context(now)));
-            }
-            if *next <= now {
-                actions.extend(run.on_timer(&mut node.context(now)));
-            }
-            if !actions.is_empty() || *next <= now {
-                *next = run.next_timer(now);
-            }
-            attempts.extend(sends(&actions));
-            match verdict(&actions) {
-                Some(Verdict::Refuse(_)) => {
-                    outcome.refused.push(millis);
-                    outcome.longest_refused = outcome.longest_refused.max(millis - *arrived);
-                }
-                Some(_) => outcome.served.push(millis),
-                None => {}
+        callers.step(millis);
+    }
+    let mut outcome = Outcome::default();
+    for caller in &callers.all {
+        match &caller.ended {
+            Some((millis, Verdict::Refuse(_))) => {
+                outcome.refused.push(*millis);
+                outcome.longest_refused = outcome.longest_refused.max(millis - caller.arrived);
             }
+            Some((millis, _)) => outcome.served.push(*millis),
+            None => {}
         }
     }
     outcome
@@ -96,7 +79,7 @@
     let mut node = node();
     let one = node.rule("one");
     node.balancer.on_sent(&"i-1".into(), &one, at(0));
-    let outcome = replay(&mut node, &[1, 1, 1, 1]);
+    let outcome = replay(node, &[1, 1, 1, 1]);
     assert_eq!(outcome.served.len(), 4, "{outcome:?}");
 }
 
@@ -105,7 +88,7 @@
 #[case(6)]
 #[case(8)]
 fn short_burst(#[case] callers: usize) {
-    let outcome = replay(&mut node(), &vec![1; callers]);
+    let outcome = replay(node(), &vec![1; callers]);
     assert_eq!(outcome.served.len(), callers, "{outcome:?}");
 }
 
@@ -113,7 +96,7 @@
 /// others are served.
 #[test]
 fn long_burst() {
-    let outcome = replay(&mut node(), &[1; 60]);
+    let outcome = replay(node(), &[1; 60]);
     assert!(outcome.served.len() >= 8, "{outcome:?}");
     assert!(outcome.refused.iter().filter(|it| **it == 1).count() >= 40, "{outcome:?}");
     assert_eq!(outcome.served.len() + outcome.refused.len(), 60, "{outcome:?}");
--- a/crates/core/tests/direct/model/simulation.rs
+++ b/crates/core/tests/direct/model/simulation.rs
@@ -16,7 +16,7 @@
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
-use super::Server;
+use super::{Server, Tally};
 use crate::fixture::{self, Node};
 
 /// The names of the data centres.
@@ -34,28 +34,6 @@
 /// The factor on the work of one request in a hundred.
 const TAIL_FACTOR: f64 = 5.0;
 
-/// Counts of the outcomes of all requests.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct Tally {
-    pub requests: usize,
-    /// The sum over all answers within the objective of the square of their coverage.
-    pub credit: f64,
-    pub late: usize,
-    pub refused: usize,
-    pub failed: usize,
-    /// The requests that reached a server, beyond the first for each shard.
-    pub extras: usize,
-    /// The requests that reached a server while it rested.
-    pub unwanted: usize,
-}
-
-impl Tally {
-    /// Returns the average credit per request.
-    pub fn score(&self) -> f64 {
-        self.credit / self.requests as f64
-    }
-}
-
 /// A simulation of nodes that share servers, with callers at a steady rate.
 pub struct Simulation {
     pub servers: BTreeMap<Name, Server>,
@@ -67,9 +45,13 @@
     arrivals: SmallRng,
     events: BinaryHeap<Reverse<(Time, u64, Event)>>,
     runs: HashMap<usize, (usize, Run, Time)>,
+    /// The runs by their nodes and their numbers there.
+    numbers: HashMap<(usize, u64), usize>,
     finished: HashSet<usize>,
     /// Whether the nodes of a data centre send one another reports about servers.
     pub shares_reports: bool,
+    /// How often requests look for a connection, if they aren't woken when their turn comes.
+    pub polls: Option<Duration>,
     /// Whether the nodes grant servers the rest that these ask for.
     pub grants_rests: bool,
     /// The rests that servers ask for in answers under way.
@@ -81,7 +63,7 @@
 
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Event {
-    Arrive(usize),
+    Arrive(usize, usize),
     End(usize, usize, u8),
     Timer(usize),
     Report(usize),
@@ -130,8 +112,10 @@
             arrivals: SmallRng::seed_from_u64(seed),
             events: BinaryHeap::new(),
             runs: HashMap::new(),
+            numbers: HashMap::new(),
             finished: HashSet::new(),
             shares_reports: true,
+            polls: None,
             grants_rests: true,
             rests: HashMap::new(),
             number: 0,
@@ -156,8 +140,25 @@
             let gap = -self.arrivals.random::<f64>().max(1e-9).ln() / per_second;
             time = time + Duration::from_secs_f64(gap);
             id += 1;
-            self.push(time, Event::Arrive(id));
+            self.push(time, Event::Arrive(id, id % self.nodes.len()));
         }
+        self.play(begin, length)
+    }
+
+    /// Simulates callers that arrive after these times, each at the node with this index. Returns the
+    /// outcomes.
+    pub fn replay(&mut self, arrivals: &[(Duration, usize)]) -> Tally {
+        self.tally = Tally::default();
+        let begin = self.now;
+        let first = self.number as usize + 1;
+        for (id, (after, node)) in (first..).zip(arrivals) {
+            self.push(begin + *after, Event::Arrive(id, *node));
+        }
+        let length = arrivals.iter().map(|it| it.0).max().unwrap_or_default();
+        self.play(begin, length)
+    }
+
+    fn play(&mut self, begin: Time, length: Duration) -> Tally {
         for index in 0..self.nodes.len() {
             let periods = length.as_millis() / REPORT_PERIOD.as_millis();
             let offset = self.arrivals.random_range(Duration::ZERO..REPORT_PERIOD);
@@ -174,26 +175,29 @@
 
     fn step(&mut self, now: Time, event: Event) {
         match event {
-            Event::Arrive(id) => {
-                let index = id % self.nodes.len();
+            Event::Arrive(id, index) => {
                 let node = &mut self.nodes[index];
                 let rule = node.rule("all");
                 let timeout = self.rule.timeout;
                 let mut run = Run::new(rule, timeout, &mut node.context(now));
                 let actions = run.start(&mut node.context(now));
                 self.tally.requests += 1;
+                self.numbers.insert((index, run.number()), id);
                 self.runs.insert(id, (index, run, now));
                 self.act(id, actions, now);
+                self.wake(index, now);
             }
             Event::End(id, attempt, end) => {
                 let Some((index, run, _)) = self.runs.get_mut(&id) else { return };
+                let index = *index;
                 let ends = [End::Served, End::Shed, End::Unsent, End::Resting];
-                let node = &mut self.nodes[*index];
+                let node = &mut self.nodes[index];
                 if let Some((server, rest)) = self.rests.remove(&(id, attempt)) {
                     node.balancer.on_resting(&server, rest, now);
                 }
                 let actions = run.on_end(attempt, ends[usize::from(end)], &mut node.context(now));
                 self.act(id, actions, now);
+                self.wake(index, now);
             }
             Event::Report(_) if !self.shares_reports => {}
             Event::Report(index) => {
@@ -210,12 +214,26 @@
             Event::Timer(id) if self.finished.contains(&id) => {}
             Event::Timer(id) => {
                 let Some((index, run, _)) = self.runs.get_mut(&id) else { return };
-                let actions = run.on_timer(&mut self.nodes[*index].context(now));
+                let index = *index;
+                let actions = run.on_timer(&mut self.nodes[index].context(now));
                 self.act(id, actions, now);
+                self.wake(index, now);
             }
         }
     }
 
+    /// Wakes the requests of a node whose turn it is.
+    fn wake(&mut self, index: usize, now: Time) {
+        while self.polls.is_none() {
+            let Node { balancer, plan, .. } = &mut self.nodes[index];
+            let Some(number) = balancer.called(plan, now).first().copied() else { return };
+            let id = self.numbers[&(index, number)];
+            let (_, run, _) = self.runs.get_mut(&id).expect("a run that waits is known");
+            let actions = run.on_timer(&mut self.nodes[index].context(now));
+            self.act(id, actions, now);
+        }
+    }
+
     fn act(&mut self, id: usize, actions: Vec<Action>, now: Time) {
         for action in actions {
             match action {
@@ -227,8 +245,9 @@
             return;
         }
         let (_, run, _) = &self.runs[&id];
-        let next = run.next_timer(now).max(now + Duration::from_micros(100));
-        self.push(next, Event::Timer(id));
+        let next = run.next_timer(now);
+        let next = self.polls.map_or(next, |it| next.min(now + it));
+        self.push(next.max(now + Duration::from_micros(100)), Event::Timer(id));
     }
 
     fn send(&mut self, id: usize, attempt: &Attempt, now: Time) {
--- a/crates/direct/src/node/mod.rs
+++ b/crates/direct/src/node/mod.rs
@@ -7,9 +7,11 @@
 mod run;
 mod settings;
 mod shared;
+mod turns;
 
 pub use self::{
     run::run,
     settings::{Reload, Settings},
     shared::{PAUSE_THRESHOLD, Shared, State},
+    turns::{Turn, Turns},
 };
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -18,3 +18,4 @@
 mod served_requests;
 mod stranded_nodes;
 mod unseen_ends;
+mod waiting_callers;
