--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -21,3 +21,4 @@
 mod stale_connections;
 mod stranded_nodes;
 mod unseen_ends;
+mod waiting_callers;
