Install the signal handlers of a node before it binds an address

Ruled out: a test that fails first without depending on timing; unlike the other daemons the program writes nothing between the two that could hold it there. Not measured how long the time is.

Change: the three handlers are installed first. A signal that comes before the loop is kept by the runtime and handled there.

--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -40,6 +40,13 @@
 /// Runs a node until a signal stops it. Must be called on a [`tokio::task::LocalSet`]. Fails if an
 /// address cannot be bound or the signal handlers cannot be installed.
 pub async fn run(settings: Settings, boot: u64) -> Result<(), StartError> {
+    // A signal that comes once callers can connect must not end the process at once.
+    let mut terminate =
+        signal(SignalKind::terminate()).context(StartSnafu { what: "install signal handlers" })?;
+    let mut interrupt =
+        signal(SignalKind::interrupt()).context(StartSnafu { what: "install signal handlers" })?;
+    let mut hangup =
+        signal(SignalKind::hangup()).context(StartSnafu { what: "install signal handlers" })?;
     let Settings { name, data_centre, headers, balance, .. } = settings;
     // Nodes that start together must not make the same random choices.
     let seed = boot ^ u64::from(name.key());
@@ -56,12 +63,6 @@
         relays.with_context(|_| StartSnafu { what: what("relayed requests", settings.peer) })?;
     let rpc = TcpListener::bind(settings.rpc).await;
     let rpc = rpc.with_context(|_| StartSnafu { what: what("calls", settings.rpc) })?;
-    let mut terminate =
-        signal(SignalKind::terminate()).context(StartSnafu { what: "install signal handlers" })?;
-    let mut interrupt =
-        signal(SignalKind::interrupt()).context(StartSnafu { what: "install signal handlers" })?;
-    let mut hangup =
-        signal(SignalKind::hangup()).context(StartSnafu { what: "install signal handlers" })?;
     events::STARTED.emit(&[
         ("node", &name),
         ("data_centre", &data_centre),
