Read what has arrived before the end of a stop without requests

If no tick of the stop falls between the close of connections and the end (a grace time of 0.2 s or less, or a process that stalls that long), no connection reads, no notice is sent, and connections that wait to be accepted are reset.

--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -150,8 +150,12 @@
     /// Lets requests whose final answers are due write them, if the process got no processor time before.
     pub async fn write_last_answers(&self) {
         let until = self.now() + LAST_ANSWERS_TIMEOUT;
-        while self.state.borrow().load.requests > 0 && self.now() < until {
+        loop {
+            // Connections read what has arrived meanwhile, which counts as requests then.
             tokio::time::sleep(LAST_ANSWERS_POLL_INTERVAL).await;
+            if self.state.borrow().load.requests == 0 || self.now() >= until {
+                return;
+            }
         }
     }
 
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -11,6 +11,7 @@
 mod followed_reader;
 mod invalid_answers;
 mod invalid_requests;
+mod last_answers;
 mod later_builds;
 mod leaving_servers;
 mod packed_updates;
