Keep servers from speaking for nodes

Found by the review: an answer of a backend server that carries x-mimosabridge-resting, -leaving or -not-served passed these on. Behind a relay the other node took them for words of the node: a server could rest any other one for up to ten minutes, and with -not-served a request that may run once only ran again at another node.

Change: these headers are removed from answers of servers. Notices are kept once a server, so that a query over many shards can't exceed the hundred headers that a node reads.

Measured: server_speaks_for_node fails before (1 of 1) and passes; 51 tests of resting and leaving servers, relays and these pass.

--- a/crates/direct/src/front/notices.rs
+++ b/crates/direct/src/front/notices.rs
@@ -1,6 +1,9 @@
 //! What servers say of themselves, as one node tells it to another that passes their answers on.
 
-use std::time::Duration;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Response};
@@ -19,19 +22,20 @@
 /// What servers have said of themselves in their answers to one request.
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
-    leaving: Vec<Name>,
+    leaving: BTreeSet<Name>,
     /// The servers that want no requests, with the ends of that.
-    resting: Vec<(Name, Time)>,
+    resting: BTreeMap<Name, Time>,
 }
 
 impl Notices {
     /// Adds what a server has just said of itself.
     pub fn add(&mut self, server: &Name, notice: Notice, now: Time) {
         if notice.is_leaving {
-            self.leaving.push(server.clone());
+            self.leaving.insert(server.clone());
         }
         if let Some(rest) = notice.rest {
-            self.resting.push((server.clone(), now + rest));
+            let end = self.resting.entry(server.clone()).or_default();
+            *end = (now + rest).max(*end);
         }
     }
 
@@ -39,7 +43,7 @@
     /// had answered it.
     pub fn write(&self, answer: &mut Answer, now: Time) {
         let leaving = self.leaving.iter().map(|it| (LEAVING, it.to_string()));
-        let resting = self.resting.iter().filter(|it| it.1 > now).map(|(server, end)| {
+        let resting = self.resting.iter().filter(|it| *it.1 > now).map(|(server, end)| {
             let millis = now.until(*end).as_millis();
             (RESTING, format!("{millis} {server}"))
         });
@@ -70,7 +74,7 @@
     }
 }
 
-/// Removes the notices, which are for this node alone.
+/// Removes the notices: those of another node are for this one alone, and servers write none.
 pub fn strip(headers: &mut HeaderMap) {
     headers.remove(LEAVING);
     headers.remove(RESTING);
--- a/crates/direct/src/front/respond.rs
+++ b/crates/direct/src/front/respond.rs
@@ -5,7 +5,7 @@
 use http_body_util::Full;
 use mimosabridge::scatter::Failure;
 
-use super::notices;
+use super::{notices, relay::NOT_SERVED};
 use crate::{
     backend::Reply,
     wire::{self, Headers},
@@ -40,12 +40,15 @@
     }
 }
 
-/// Returns the answer of a server without its hop-by-hop headers, otherwise unchanged.
+/// Returns the answer of a server without its hop-by-hop headers and those by which nodes tell one
+/// another something, otherwise unchanged.
 pub fn pass(reply: Reply) -> Answer {
     let mut answer = Response::new(Full::new(reply.body));
     *answer.status_mut() = reply.status;
     *answer.headers_mut() = reply.headers;
     wire::strip(answer.headers_mut());
+    notices::strip(answer.headers_mut());
+    answer.headers_mut().remove(NOT_SERVED);
     answer
 }
 
--- a/crates/direct/tests/node/served_requests.rs
+++ b/crates/direct/tests/node/served_requests.rs
@@ -18,6 +18,23 @@
     });
 }
 
+/// Guards against a server whose headers another node takes for those of the node that passes its answer on.
+#[test]
+fn server_speaks_for_node() {
+    run(async {
+        let server = Server::start("i-1", "one", Behavior::Correct).await;
+        "x-mimosabridge-not-served: 1\r\nx-mimosabridge-leaving: i-2\r\nx-mimosabridge-resting: 9 i-2\r\n"
+            .clone_into(&mut server.more.borrow_mut());
+        let node = Node::start(&[&server]).await;
+        for address in [node.peer, node.front] {
+            let answer = ask(address, &request("POST", "/one/a", "r1", "")).await;
+            let answer = answer.expect("the node answers");
+            assert_eq!(answer.status, 200);
+            assert!(!answer.head.contains("x-mimosabridge-"), "{}", answer.head);
+        }
+    });
+}
+
 #[test]
 fn merged_from_shards() {
     run(async {
