Send a shard that was held while it waited for a connection

What callers would have seen, since: a request with suspect content whose first shard waits for a connection, while another one is asked first, got no answer of that shard, or a late one.

Cause: the shard left the queue while it was held, with the time at which it would have looked by itself, which may be the deadline.

Change: a shard that leaves the queue is due.

full_connections::held_shard_sent_later failed before: no attempt when the first answer had come.

--- a/crates/core/src/scatter/wait.rs
+++ b/crates/core/src/scatter/wait.rs
@@ -57,6 +57,7 @@
         let shard = &mut self.shards[index];
         if std::mem::take(&mut shard.is_queued) {
             context.balancer.leave_queue(&shard.service, waiter);
+            shard.due = context.now;
         }
     }
 
--- a/crates/core/tests/direct/full_connections.rs
+++ b/crates/core/tests/direct/full_connections.rs
@@ -155,3 +155,28 @@
     let last = (0..60).filter_map(|_| retry_after(start(&mut node, "one", 0))).last();
     assert!(last.is_some_and(|it| it > least), "{last:?}");
 }
+
+/// Guards against a shard of a request with suspect content that is forgotten: it waits for a connection,
+/// then for the answer of the shard that is asked first.
+#[test]
+fn held_shard_sent_later() {
+    let services = (0..2).map(|it| service(&format!("s{it}"), 0.0)).collect();
+    let entries = (0..2).map(|it| entry(it, &format!("s{it}"), "a")).collect();
+    let mut node = Node::new(vec![gather(2, 0.5)], services, entries);
+    node.balancer.set_nodes(40);
+    let all = node.rule("all");
+    node.balancer.on_sent(&"i-0".into(), &all, at(0));
+    let mut context = node.context(at(1));
+    let mut run = Run::new(all.clone(), Duration::from_secs(2), &mut context).with_canary();
+    let first = sends(&run.start(&mut context));
+    assert_eq!(first.len(), 1);
+    let observation = mimosabridge::balance::Observation::Served;
+    node.balancer.on_end(&"i-0".into(), &all, at(0), observation, Duration::ZERO, at(20));
+    assert_eq!(
+        sends(&run.on_timer(&mut node.context(at(20)))),
+        [],
+        "the first answer is not there"
+    );
+    let actions = run.on_end(first[0].number, End::Served, &mut node.context(at(25)));
+    assert_eq!(sends(&actions).len(), 1);
+}
