--- a/crates/core/tests/direct/load_patterns.rs
+++ b/crates/core/tests/direct/load_patterns.rs
@@ -14,7 +14,7 @@
 const RATE: f64 = 135.0;
 
 /// The least score that the users' targets require under such faults.
-const TARGET: f64 = 0.75;
+pub const TARGET: f64 = 0.75;
 
 fn replay(seed: u64, configure: impl Fn(&mut Settings), fault: impl Fn(&mut Simulation)) -> Tally {
     let mut simulation = Simulation::new(9, seed, configure);
--- a/crates/core/tests/direct/model/simulation.rs
+++ b/crates/core/tests/direct/model/simulation.rs
@@ -124,6 +124,15 @@
         }
     }
 
+    /// Returns the servers of a data centre.
+    pub fn servers_in(&mut self, data_centre: &str) -> impl Iterator<Item = &mut Server> {
+        let index = DATA_CENTRES.iter().position(|it| *it == data_centre);
+        let index = index.expect("the data centre exists") as u16;
+        let name = |it: u16| fixture::entry(it, "", "").id;
+        let names: HashSet<_> = (0..10).map(|shard| name(shard * 3 + index)).collect();
+        self.servers.iter_mut().filter(move |it| names.contains(it.0)).map(|it| it.1)
+    }
+
     /// Returns the current time.
     pub fn now(&self) -> Time {
         self.now
