Leave a request with a ticket its time while the entry stays

What callers saw: nothing yet, as the fault has not been landed. While a configuration spreads, an entry that does not know a rule, or a shorter one, sent a request of another home there with the time of its own rules: the home refused it or gave it up early (504).

Cause: wrote the time of every such request anew, not only in a stop.

Ruled out: the home itself; it takes the time of its own rule if the request has none.

Change: an entry forwards a request unchanged and waits as it did before. Only once its listener is closed does it limit the time, so that the answer comes before its end.

--- a/crates/node/src/entry/coordinator.rs
+++ b/crates/node/src/entry/coordinator.rs
@@ -123,6 +123,11 @@
         *self.answers_due.get_or_init(|| due)
     }
 
+    /// Returns whether [`Coordinator::answers_due`] limits the time of requests that begin now.
+    pub fn is_closed(&self) -> bool {
+        self.answers_due.get().is_some()
+    }
+
     /// Returns how long a request of any rule may take.
     pub fn longest_deadline(&self) -> Duration {
         self.view().set.rules.values().map(Rule::deadline).max().unwrap_or_default()
--- a/crates/node/src/entry/home.rs
+++ b/crates/node/src/entry/home.rs
@@ -70,12 +70,8 @@
         if ticket.home == self.name {
             return self.submit_here(ticket, request).await;
         }
-        let budget = request.budget.unwrap_or(self.deadline(&request));
-        let budget = budget.min(self.coordinator.longest_deadline());
-        let deadline = self.coordinator.deadline(budget);
-        let budget = self.coordinator.timer.now().until(deadline);
-        let request = Request { budget: Some(budget), ..request };
-        let timeout = budget + ANSWER_GRACE;
+        let (request, wait) = self.forward(request);
+        let timeout = wait + ANSWER_GRACE;
         let Some(link) = self.coordinator.links.get(&ticket.home, &self.coordinator.view()) else {
             return Answer::unknown();
         };
@@ -87,6 +83,18 @@
         }
     }
 
+    /// Returns a request as its home gets it, and how long the home may take. Only an entry that
+    /// stops limits the time: otherwise the home decides, whose rules may be newer.
+    fn forward(&self, request: Request) -> (Request, Duration) {
+        let wait = request.budget.unwrap_or(self.deadline(&request));
+        let deadline = self.coordinator.deadline(wait.min(self.coordinator.longest_deadline()));
+        if !self.coordinator.is_closed() {
+            return (request, wait);
+        }
+        let budget = self.coordinator.timer.now().until(deadline);
+        (Request { budget: Some(budget), ..request }, budget)
+    }
+
     /// Returns the answer of the run of a ticket from its home, if the run is finished.
     pub async fn answer(&self, ticket: Ticket) -> Option<Answer> {
         if ticket.home == self.name {
--- a/crates/node/tests/fleet/tickets.rs
+++ b/crates/node/tests/fleet/tickets.rs
@@ -1,7 +1,19 @@
 //! Requests that are not idempotent.
 
+use std::sync::{Arc, Mutex};
+
+use mimosabridge::{name::Name, place::Placement, quarantine::List, query::Verdict};
+use mimosabridge_node::{
+    clock::Clock,
+    entry::{Coordinator, Home, Parts, Request},
+    fleet::{Connectivity, View},
+    metrics::Metrics,
+    timer,
+    trace::Tracer,
+};
 use mimosabridge_standin::server::Spec;
-use serde_json::{Value, json};
+use serde_json::{Value, json, value::RawValue};
+use tokio::sync::watch;
 
 use crate::env::Fleet;
 
@@ -74,3 +86,37 @@
     let answer: Value = after.json().await.expect("it is JSON");
     assert_eq!(answer["verdict"], "complete");
 }
+
+/// Guards against an entry that gives a request of another home the time of its own rules.
+#[tokio::test]
+async fn rule_spreads() {
+    let fleet = Fleet::start(Spec::new()).await;
+    let ticket = fleet.ticket("entry-a").await.parse().expect("the ticket is valid");
+    // The entry knows the other nodes but no rule.
+    let nodes = fleet.nodes["entry-a"].view().borrow().nodes.clone();
+    let (_views, view) = watch::channel(Arc::new(View { nodes, ..View::default() }));
+    let coordinator = Coordinator::new(Parts {
+        data_centre: Name::from("a"),
+        boot: 1,
+        timer: timer::Service::start(Clock::new()),
+        view,
+        connectivity: Connectivity::new(),
+        quarantine: Arc::new(Mutex::new(List::new())),
+        metrics: Metrics::new(),
+        tracer: Tracer::new(),
+        name: Name::from("entry-c"),
+        placement: Placement::Primary,
+    });
+    let home = Home::new(Name::from("entry-c"), 1, Arc::new(coordinator));
+    let query = RawValue::from_string(r#"{"order":"order-1"}"#.to_owned());
+    let request = Request {
+        rule: Name::from("rule"),
+        query: query.expect("the query is JSON"),
+        budget: None,
+        idempotent: false,
+        trace: None,
+    };
+    let answer = home.submit(ticket, request).await;
+    assert_eq!(answer.verdict, Verdict::Complete, "{answer:?}");
+    assert_eq!(starts(&fleet, "order-1"), [1, 1, 1]);
+}
