Give a request of an unknown rule the time of the longest known one

What callers saw: 504 a second after a request with a ticket of another home was sent, if the entry asked did not know its rule yet, while the home ran it. An entry that stops sent it without any time, so that the home kept the answer "not run" for its ticket.

Cause: the time of an unknown rule was taken as none.

Ruled out: a wait without end; the home may have stopped.

Change: the longest of the known rules counts.

--- a/crates/node/src/entry/home.rs
+++ b/crates/node/src/entry/home.rs
@@ -148,9 +148,11 @@
         }
     }
 
+    /// Returns how long the rule of a request allows, or the longest of the rules if it is unknown.
     fn deadline(&self, request: &Request) -> Duration {
         let view = self.coordinator.view();
-        view.set.rules.get(&request.rule).map_or(Duration::ZERO, |it| it.deadline())
+        let rule = view.set.rules.get(&request.rule);
+        rule.map_or_else(|| self.coordinator.longest_deadline(), |it| it.deadline())
     }
 
     fn table(&self) -> MutexGuard<'_, Table> {
--- a/crates/node/tests/fleet/tickets.rs
+++ b/crates/node/tests/fleet/tickets.rs
@@ -1,8 +1,11 @@
 //! Requests that are not idempotent.
 
-use std::sync::{Arc, Mutex};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
-use mimosabridge::{name::Name, place::Placement, quarantine::List, query::Verdict};
+use mimosabridge::{config::Set, name::Name, place::Placement, quarantine::List, query::Verdict};
 use mimosabridge_node::{
     clock::Clock,
     entry::{Coordinator, Home, Parts, Request},
@@ -90,11 +93,17 @@
 /// Guards against an entry that gives a request of another home the time of its own rules.
 #[tokio::test]
 async fn rule_spreads() {
-    let fleet = Fleet::start(Spec::new()).await;
+    let work = Duration::from_millis(1_500);
+    let spec = Spec { service_time: work, cold_factor: 1.0, straggle: 0.0, ..Spec::new() };
+    let fleet = Fleet::start(spec).await;
     let ticket = fleet.ticket("entry-a").await.parse().expect("the ticket is valid");
-    // The entry knows the other nodes but no rule.
-    let nodes = fleet.nodes["entry-a"].view().borrow().nodes.clone();
-    let (_views, view) = watch::channel(Arc::new(View { nodes, ..View::default() }));
+    // The entry knows the other nodes and another rule.
+    let mut known = View::clone(&fleet.nodes["entry-a"].view().borrow());
+    let mut set = Set::clone(&known.set);
+    let rule = set.rules.remove("rule").expect("the fixture has it");
+    set.rules.insert(Name::from("other"), rule);
+    known.set = Arc::new(set);
+    let (_views, view) = watch::channel(Arc::new(known));
     let coordinator = Coordinator::new(Parts {
         data_centre: Name::from("a"),
         boot: 1,
