Send a hedge later if callers wait when it is due

What callers saw: a late answer, on nodes with few connections: a hedge that was due while another request waited for a connection was never sent, even if a connection was free 1 ms later.

Found by the review of the waiting order.

Ruled out: hedges of nodes that have few left; they wait until the last moment, as before.

Change: the hedge looks again each 25 ms while its answer would come in time.

Tests: waiting_order::hedge_sent_later failed before (1 of 1). hedge_waits showed nothing: its node had no hedges left, so that it passed without the check that it guards. Both have a node with hedges now; hedge_waits fails without the check.

--- a/crates/core/src/scatter/run.rs
+++ b/crates/core/src/scatter/run.rs
@@ -14,7 +14,7 @@
 };
 
 /// How often the run looks again for a server for a shard that may use none of those with a free
-/// connection.
+/// connection, and for a hedge while other requests wait for the connections.
 const DISPATCH_RETRY_INTERVAL: Duration = Duration::from_millis(25);
 
 /// How many attempts at a shard are allowed beyond the limit of the rule. They go to servers that
@@ -292,14 +292,17 @@
         actions
     }
 
-    /// Returns until when a hedge that is due waits, if this node has few left for the service.
+    /// Returns until when a hedge that is due waits, if this node has few left for the service or other
+    /// requests wait for the connections.
     fn postponed_hedge(&self, index: usize, context: &mut Context<'_>) -> Option<Time> {
+        let Context { balancer, plan, now } = context;
         let service = &self.shards[index].service;
-        if context.balancer.hedges_left(service, context.now) >= FEW_HEDGES {
-            return None;
+        let last = self.timing.last_hedge(balancer.usual_latency(&self.rule));
+        if balancer.hedges_left(service, *now) < FEW_HEDGES {
+            return (last > *now).then_some(last);
         }
-        let last = self.timing.last_hedge(context.balancer.usual_latency(&self.rule));
-        (last > context.now).then_some(last)
+        let next = *now + DISPATCH_RETRY_INTERVAL;
+        (next <= last && !balancer.has_spare(service, plan, *now)).then_some(next)
     }
 
     /// Makes the first attempt at a shard, or replaces an attempt that ended without success.
--- a/crates/core/tests/direct/waiting_order.rs
+++ b/crates/core/tests/direct/waiting_order.rs
@@ -5,7 +5,7 @@
 use mimosabridge::{
     balance::{Observation, Waiter},
     name::Name,
-    plan::Target,
+    plan::{Service, Target},
     scatter::{End, Refusal, Verdict},
 };
 
@@ -34,6 +34,16 @@
     Callers::new(node(), Duration::from_millis(27))
 }
 
+/// Returns the callers of a node like [`node`], in a fleet that is so small that the node has hedges.
+fn hedging_callers() -> Callers {
+    let target = Target::One("one".into());
+    let entries = (1..=2).map(|it| entry(it, "one", "a")).collect();
+    let service = Service { connections: 2, ..service("one", 0.0) };
+    let mut node = Node::new(vec![rule("one", target)], vec![service], entries);
+    node.balancer.set_nodes(2);
+    Callers::new(node, Duration::from_millis(27))
+}
+
 fn is_refused(verdict: Option<&(u64, Verdict)>) -> bool {
     matches!(verdict, Some((_, Verdict::Refuse(Refusal { .. }))))
 }
@@ -159,7 +169,7 @@
 /// Guards against a hedge that takes the connection for which a caller waits.
 #[test]
 fn hedge_waits() {
-    let mut callers = callers();
+    let mut callers = hedging_callers();
     let hedging = callers.arrive("one", PATIENT, 0);
     let other = callers.arrive("one", PATIENT, 0);
     let waiting = callers.arrive("one", PATIENT, 40);
@@ -170,3 +180,20 @@
     callers.wake(67);
     assert_eq!(callers.all[waiting].attempts.len(), 1);
 }
+
+/// Guards against a hedge that is never sent because a caller waited when it was due.
+#[test]
+fn hedge_sent_later() {
+    let mut callers = hedging_callers();
+    let hedging = callers.arrive("one", PATIENT, 0);
+    let other = callers.arrive("one", PATIENT, 0);
+    let waiting = callers.arrive("one", PATIENT, 40);
+    let number = callers.all[other].attempts[0].number;
+    callers.end_without_wake(other, number, End::Served, 67);
+    callers.run_timer(hedging, 67);
+    callers.wake(67);
+    let number = callers.all[waiting].attempts[0].number;
+    callers.end_without_wake(waiting, number, End::Served, 80);
+    callers.run_timer(hedging, 92);
+    assert_eq!(callers.all[hedging].attempts.len(), 2, "nobody waits any more");
+}
