Count the time for which a server is down once in the wait for it

What callers saw: a part was missing although there was time for it. A request that waited for servers that are down counted as too late, so that a later one was sent before it.

Found by the review of the waiting order.

Change: the estimate names the time of the answer alone.

Tests: waiting_order::down_time_counted_once failed before (1 of 1: the later request was named).

--- a/crates/core/src/balance/wait.rs
+++ b/crates/core/src/balance/wait.rs
@@ -42,10 +42,10 @@
             }
             let has_room = server.running() < room;
             let wait = if has_room { Duration::ZERO } else { server.free_in(now) };
-            let answer = usual.mul_f64(server.slowness(now).max(0.1));
-            let answer = now.until(server.down_until()).max(wait) + answer;
+            let latency = usual.mul_f64(server.slowness(now).max(0.1));
+            let answer = now.until(server.down_until()).max(wait) + latency;
             let best = if has_room { &mut at_once } else { &mut later };
-            let estimate = Estimate { is_down, answer, wait };
+            let estimate = Estimate { is_down, answer, wait, latency };
             *best = Some(best.map_or(estimate, |it| it.min(estimate)));
         }
         if waiting < free {
--- a/crates/core/src/scatter/wait.rs
+++ b/crates/core/src/scatter/wait.rs
@@ -27,9 +27,9 @@
         let Context { balancer, plan, now } = context;
         let service = &self.shards[index].service;
         let estimate = balancer.estimate(service, &self.rule, plan, *now);
-        let expected = estimate.map(|it| it.answer.saturating_sub(it.wait));
-        let expected = expected.unwrap_or_else(|| balancer.usual_latency(&self.rule));
-        let latest = self.timing.last_send(expected);
+        let latency = estimate.map(|it| it.latency);
+        let latency = latency.unwrap_or_else(|| balancer.usual_latency(&self.rule));
+        let latest = self.timing.last_send(latency);
         if self.needed() == self.shards.len() {
             // The request can't be served without this shard.
             self.timing.dispatch_by = self.timing.dispatch_by.min(latest);
--- a/crates/core/tests/direct/waiting_order.rs
+++ b/crates/core/tests/direct/waiting_order.rs
@@ -197,3 +197,23 @@
     callers.run_timer(hedging, 92);
     assert_eq!(callers.all[hedging].attempts.len(), 2, "nobody waits any more");
 }
+
+/// Guards against a request that is passed over because the time for which its server is down counts
+/// twice.
+#[test]
+fn down_time_counted_once() {
+    let services = (0..2).map(|it| service(&format!("s{it}"), 0.0)).collect();
+    let entries = (0..2).map(|it| entry(it, &format!("s{it}"), "a")).collect();
+    let mut node = Node::new(vec![gather(2, 0.5)], services, entries);
+    node.balancer.set_nodes(NODES);
+    let mut callers = Callers::new(node, Duration::from_millis(1_000));
+    let earlier = callers.arrive("all", PATIENT, 0);
+    let numbers: Vec<_> = callers.all[earlier].attempts.drain(..).map(|it| it.number).collect();
+    callers.end_without_wake(earlier, numbers[0], End::Unsent, 3);
+    callers.end_without_wake(earlier, numbers[1], End::Served, 20);
+    callers.arrive("all", PATIENT, 50);
+    let Node { balancer, plan, .. } = &mut callers.node;
+    let down_until = balancer.server(&"i-0".into()).expect("it is known").down_until();
+    assert!(down_until > at(100), "it is not tried at once");
+    assert_eq!(balancer.called(plan, down_until), [1], "the older one would be answered in time");
+}
