--- a/crates/core/tests/direct/model/callers.rs
+++ b/crates/core/tests/direct/model/callers.rs
@@ -75,7 +75,7 @@
         self.wake(millis);
     }
 
-    /// Ends an attempt and leaves the requests asleep whose turn it is then.
+    /// Ends an attempt without waking the requests whose turn it is then.
     pub fn end_without_wake(&mut self, index: usize, number: usize, end: End, millis: u64) {
         let actions = self.all[index].run.on_end(number, end, &mut self.node.context(at(millis)));
         self.act(index, &actions, millis);
--- a/crates/core/tests/direct/waiting_order.rs
+++ b/crates/core/tests/direct/waiting_order.rs
@@ -92,11 +92,11 @@
     let one = callers.node.rule("one");
     let usual = callers.node.balancer.usual_latency(&one);
     // The usual time is left until 45 ms. A connection is expected by then, but is free at 60 ms.
-    let hurried = callers.arrive("one", usual + Duration::from_millis(15 + 20), 25);
+    let urgent = callers.arrive("one", usual + Duration::from_millis(15 + 20), 25);
     let patient = callers.arrive("one", PATIENT, 26);
     (27..=200).for_each(|it| callers.step(it));
-    assert!(is_refused(callers.all[hurried].ended.as_ref()), "{:?}", callers.all[hurried].ended);
-    assert_eq!(callers.all[hurried].ended.as_ref().map(|it| it.0), Some(45));
+    assert!(is_refused(callers.all[urgent].ended.as_ref()), "{:?}", callers.all[urgent].ended);
+    assert_eq!(callers.all[urgent].ended.as_ref().map(|it| it.0), Some(45));
     assert_eq!(callers.all[patient].ended.as_ref().map(|it| it.0), Some(120), "sent at 60 ms");
 }
 
--- a/crates/direct/tests/node/closed_connections.rs
+++ b/crates/direct/tests/node/closed_connections.rs
@@ -107,7 +107,7 @@
     });
 }
 
-/// Guards against a connection that is closed without a word: a request that crosses the close may be
+/// Guards against a connection that is closed without a notice: a request that crosses the close may be
 /// repeated only if its caller knows that it has not run.
 #[rstest]
 #[case::idle(REQUEST, "", GRACE)]
--- a/crates/direct/tests/node/relayed_closes.rs
+++ b/crates/direct/tests/node/relayed_closes.rs
@@ -109,7 +109,7 @@
 }
 
 /// Guards against a request that is called not run though it may have: a process that is killed closes
-/// its connections without a word, too.
+/// its connections without a notice, too.
 #[rstest]
 fn silent_close_refused(
     #[values("/many/x", "/one/x", "/all/x")] path: &str,
--- a/crates/node/tests/fleet/stopping_nodes.rs
+++ b/crates/node/tests/fleet/stopping_nodes.rs
@@ -78,7 +78,7 @@
     );
 }
 
-/// Guards against a call to a gate without work that is taken and ends without a word.
+/// Guards against a call to a gate without work that is taken and ends without an answer.
 #[tokio::test]
 async fn late_call_dropped() {
     let mut fleet = Fleet::start(Spec::new()).await;
@@ -109,7 +109,7 @@
     assert!(refused > 0, "the gate takes calls while it stops, and drops them");
 }
 
-/// Guards against a call that waits behind the last message of a stop and ends without a word.
+/// Guards against a call that waits behind the last message of a stop and ends without an answer.
 #[tokio::test]
 async fn waiting_call_dropped() {
     let (fleet, _reports) = mpsc::unbounded_channel();
