--- a/crates/core/tests/direct/waiting_order.rs
+++ b/crates/core/tests/direct/waiting_order.rs
@@ -14,34 +14,39 @@
     model::Callers,
 };
 
-/// The nodes that share the 46 connections of a server, so that each has one.
+/// The nodes of a fleet so large that each has one connection to a server.
 const NODES: u32 = 40;
 
 /// How long callers wait.
 const PATIENT: Duration = Duration::from_secs(2);
 
-/// Returns a node with two servers of one connection each.
-fn node() -> Node {
+/// Returns one of `nodes` nodes, with two servers of one connection each.
+fn node(nodes: u32) -> Node {
     let target = Target::One("one".into());
     let entries = (1..=2).map(|it| entry(it, "one", "a")).collect();
-    let mut node = Node::new(vec![rule("one", target)], vec![service("one", 0.0)], entries);
-    node.balancer.set_nodes(NODES);
+    let service = Service { connections: nodes, ..service("one", 0.0) };
+    let mut node = Node::new(vec![rule("one", target)], vec![service], entries);
+    node.balancer.set_nodes(nodes);
     node
 }
 
 /// Returns the callers of a node whose servers take 27 ms.
 fn callers() -> Callers {
-    Callers::new(node(), Duration::from_millis(27))
+    Callers::new(node(NODES), Duration::from_millis(27))
 }
 
-/// Returns the callers of a node like [`node`], in a fleet that is so small that the node has hedges.
-fn hedging_callers() -> Callers {
-    let target = Target::One("one".into());
-    let entries = (1..=2).map(|it| entry(it, "one", "a")).collect();
-    let service = Service { connections: 2, ..service("one", 0.0) };
-    let mut node = Node::new(vec![rule("one", target)], vec![service], entries);
-    node.balancer.set_nodes(2);
-    Callers::new(node, Duration::from_millis(27))
+/// Returns the callers of a node that has hedges left, which are few in a large fleet. One of the callers
+/// has a hedge due while another one, which arrived later, waits for the connection that is free. Returns
+/// the two, too.
+fn hedge_due() -> (Callers, usize, usize) {
+    let mut callers = Callers::new(node(2), Duration::from_millis(27));
+    let hedging = callers.arrive("one", PATIENT, 0);
+    let other = callers.arrive("one", PATIENT, 0);
+    let waiting = callers.arrive("one", PATIENT, 40);
+    let number = callers.all[other].attempts[0].number;
+    callers.end_without_wake(other, number, End::Served, 67);
+    callers.run_timer(hedging, 67);
+    (callers, hedging, waiting)
 }
 
 fn is_refused(verdict: Option<&(u64, Verdict)>) -> bool {
@@ -69,7 +74,7 @@
 /// Guards against a later caller that gets the connection for which an earlier one waits.
 #[test]
 fn later_one_waits() {
-    let mut callers = Callers::new(node(), Duration::from_millis(60));
+    let mut callers = Callers::new(node(NODES), Duration::from_millis(60));
     let busy = callers.arrive("one", PATIENT, 10);
     callers.arrive("one", PATIENT, 10);
     let earlier = callers.arrive("one", PATIENT, 11);
@@ -86,7 +91,7 @@
 /// A request whose answer would come too late is passed over and refused, as not run.
 #[test]
 fn late_one_passed_over() {
-    let mut callers = Callers::new(node(), Duration::from_millis(60));
+    let mut callers = Callers::new(node(NODES), Duration::from_millis(60));
     callers.arrive("one", PATIENT, 0);
     callers.arrive("one", PATIENT, 0);
     let one = callers.node.rule("one");
@@ -104,7 +109,7 @@
 /// connections from callers that can be served in time.
 #[test]
 fn slow_servers_not_waited_for() {
-    let mut node = node();
+    let mut node = node(NODES);
     let one = node.rule("one");
     for number in 1..=2 {
         for millis in [0, 400, 800, 1_200, 1_600] {
@@ -169,13 +174,7 @@
 /// Guards against a hedge that takes the connection for which a caller waits.
 #[test]
 fn hedge_waits() {
-    let mut callers = hedging_callers();
-    let hedging = callers.arrive("one", PATIENT, 0);
-    let other = callers.arrive("one", PATIENT, 0);
-    let waiting = callers.arrive("one", PATIENT, 40);
-    let number = callers.all[other].attempts[0].number;
-    callers.end_without_wake(other, number, End::Served, 67);
-    callers.run_timer(hedging, 67);
+    let (mut callers, hedging, waiting) = hedge_due();
     assert_eq!(callers.all[hedging].attempts.len(), 1, "a request that waits needs the connection");
     callers.wake(67);
     assert_eq!(callers.all[waiting].attempts.len(), 1);
@@ -184,13 +183,7 @@
 /// Guards against a hedge that is never sent because a caller waited when it was due.
 #[test]
 fn hedge_sent_later() {
-    let mut callers = hedging_callers();
-    let hedging = callers.arrive("one", PATIENT, 0);
-    let other = callers.arrive("one", PATIENT, 0);
-    let waiting = callers.arrive("one", PATIENT, 40);
-    let number = callers.all[other].attempts[0].number;
-    callers.end_without_wake(other, number, End::Served, 67);
-    callers.run_timer(hedging, 67);
+    let (mut callers, hedging, waiting) = hedge_due();
     callers.wake(67);
     let number = callers.all[waiting].attempts[0].number;
     callers.end_without_wake(waiting, number, End::Served, 80);
