--- a/crates/core/tests/direct/later_updates.rs
+++ b/crates/core/tests/direct/later_updates.rs
@@ -82,6 +82,12 @@
 fn unreadable_facts() {
     let Update::Since(snapshot) = old_codecs::update() else { panic!("the update is a delta") };
     for fact in snapshot.facts {
+        // A kind that is added here belongs into the update, too.
+        match fact {
+            Fact::Plan(_) | Fact::Server(_) | Fact::Gone(_) => {}
+            Fact::Lapsed(_) | Fact::Closed(_) | Fact::Opened(_) => {}
+            Fact::Unknown(_) => panic!("the kind is known"),
+        }
         let text = production::write(&fact);
         let kind = text.split('"').nth(1).expect("a fact has a kind");
         let text = later("Since").replace("Frozen", kind);
