--- a/crates/core/tests/direct/model/simulation.rs
+++ b/crates/core/tests/direct/model/simulation.rs
@@ -190,9 +190,8 @@
             }
             Event::End(id, attempt, end) => {
                 let Some((index, run, _)) = self.runs.get_mut(&id) else { return };
-                let index = *index;
                 let ends = [End::Served, End::Shed, End::Unsent, End::Resting];
-                let node = &mut self.nodes[index];
+                let node = &mut self.nodes[*index];
                 if let Some((server, rest)) = self.rests.remove(&(id, attempt)) {
                     node.balancer.on_resting(&server, rest, now);
                 }
@@ -214,8 +213,7 @@
             Event::Timer(id) if self.finished.contains(&id) => {}
             Event::Timer(id) => {
                 let Some((index, run, _)) = self.runs.get_mut(&id) else { return };
-                let index = *index;
-                let actions = run.on_timer(&mut self.nodes[index].context(now));
+                let actions = run.on_timer(&mut self.nodes[*index].context(now));
                 self.act(id, actions, now);
             }
         }
