Bound the memory of an answer of the store

Reads of a storm are batched over 0.7 s, so that one answer has up to a dozen versions of a configuration of 1.3 MB each; a node that was away for the storm gets all of them, with 20 s of history some 300.

Cause: the whole answer was read, copied into strings and each version decoded, about 1.8 MB of rules each, before the mirror kept the last of them. Nothing bounded the answer.

--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -93,6 +93,10 @@
             reader.on_watch(shared.now());
         }
         Err(SourceError::HistoryExpired) => reader.on_history_expired(shared.now()),
+        Err(error @ SourceError::TooLong) => {
+            events::TROUBLE.emit(&[("operation", &"watch the store"), ("error", &error)]);
+            reader.on_history_expired(shared.now());
+        }
         Err(error) => on_failure(shared, reader, &error),
     }
 }
--- a/crates/direct/src/feed/source.rs
+++ b/crates/direct/src/feed/source.rs
@@ -22,6 +22,10 @@
     /// The store no longer holds the history since the position.
     #[snafu(display("the history since the position has expired"))]
     HistoryExpired,
+    /// The answer is longer than a node reads at a time. A list of what holds is shorter than many
+    /// changes.
+    #[snafu(display("the answer is too long"))]
+    TooLong,
     /// The store did not answer, or its answer was unexpected.
     #[snafu(display("{reason}"))]
     Failed {
