Tell a removal from a lapse by when the store was available to any node

Cause: the state of the store was one bit for a node. A failed read of its own set it, and the word of the reader that it follows; a removal that it read itself within 2.3 s of the end of that was a lapse. That one node can't read the store shows nothing about the store. Each further answer of the reader that was turned away set the bit again.

Ruled out: removals that are learned late, and lapses told by peers: the log has `Lapsed` with the source `store` on nodes whose read had just been answered.

Change: directory::Uptime, the latest span in which the store is known to have had no outage, from the reads of this node and of others, which send it with their answers (optional field; earlier builds pass over it). Spans within 1.2 s of one another are one: a shorter outage prevents one write of a server and makes no entry lapse. A removal is a lapse only if the span has just begun after a gap. Before it decides so, a node asks the readers of all data centres and two others (feed::witnesses, event 5125). A lapse that a neighbour reports is rejected if the own span disproves it. Failures after an outage no longer prolong a lapse.

--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -1,16 +1,11 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
-    time::Duration,
 };
 
-use super::{Change, Entry, removed::Removed};
+use super::{Change, Entry, Uptime, removed::Removed, uptime::Record};
 use crate::{name::Name, time::Time};
 
-/// How long a lapsed entry may take to reappear once the store is available again. The platform
-/// promises about two seconds; the rest allows for delivery to this node.
-const RESTORE_GRACE: Duration = Duration::from_millis(2_300);
-
 /// The entries of all known backend servers, indexed by identity and by service.
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
@@ -19,10 +14,10 @@
     /// Servers whose entries lapsed and may still reappear.
     lapsed: HashSet<Name>,
     removed: Removed,
-    /// Since when the store has been unavailable.
-    unavailable_since: Option<Time>,
-    /// When the store last recovered.
-    available_since: Option<Time>,
+    /// Since when this node, and the one that it follows, can't read the store.
+    failing_since: Option<Time>,
+    /// When the store was available, to this node or others.
+    record: Record,
 }
 
 impl Directory {
@@ -70,36 +65,55 @@
         self.entries.is_empty()
     }
 
-    /// Returns whether the store is unavailable.
+    /// Returns whether neither this node nor the peer that it follows can read the store.
     pub fn is_store_unavailable(&self) -> bool {
-        self.unavailable_since.is_some()
+        self.failing_since.is_some()
+    }
+
+    /// Returns the latest span in which the store is known to have been available.
+    pub fn uptime(&self) -> Option<Uptime> {
+        self.record.uptime()
     }
 
     /// Records that neither this node nor the peer that it follows can read the store.
     pub fn on_store_unavailable(&mut self, now: Time) {
-        self.unavailable_since.get_or_insert(now);
+        self.failing_since.get_or_insert(now);
+        self.record.on_failure(now);
+    }
+
+    /// Records that the store answered a read of this node that was sent at `sent`.
+    pub fn on_store_available(&mut self, sent: Time, now: Time) {
+        self.failing_since = None;
+        self.record.add(Uptime { since: sent, until: now });
+    }
+
+    /// Records that the peer that this node follows can read the store. A peer of an earlier build does
+    /// not state its uptime (`states_uptime`); it was available unless the peer has said otherwise.
+    pub fn on_upstream_available(&mut self, states_uptime: bool, now: Time) {
+        let was_failing = self.failing_since.take().is_some();
+        if states_uptime {
+            return;
+        }
+        let known = self.uptime().filter(|_| !was_failing);
+        self.record.add(Uptime { since: known.map_or(now, |it| it.until), until: now });
     }
 
     /// Records that the store answered a peer at `contact`. That shows nothing if this node lost
     /// the store later.
-    pub fn on_peer_contact(&mut self, contact: Time, now: Time) {
-        if self.unavailable_since.is_some_and(|it| contact > it) {
-            self.on_store_available(now);
-        }
+    pub fn on_peer_contact(&mut self, contact: Time) {
+        self.failing_since.take_if(|it| contact > *it);
     }
 
-    /// Records that the store answers.
-    pub fn on_store_available(&mut self, now: Time) {
-        if self.unavailable_since.take().is_some() {
-            self.available_since = Some(now);
-        }
+    /// Records when the store was available to a peer.
+    pub fn on_peer_uptime(&mut self, uptime: Uptime) {
+        self.record.add(uptime);
     }
 
     /// Records that the store came back from an older copy. Entries that the copy lacks get time to
     /// reappear.
     pub fn on_store_restored(&mut self, now: Time) {
-        self.unavailable_since = None;
-        self.available_since = Some(now);
+        self.failing_since = None;
+        self.record.on_restored(now);
     }
 
     /// Replaces all entries with the full list of the store. Returns the changes.
@@ -138,14 +152,21 @@
     }
 
     /// Handles the removal of an entry from the store. A server that did not announce its stop is
-    /// kept for a while if the store is unavailable or has just recovered.
+    /// kept for a while if the store was unavailable until just before.
     pub fn on_removed(&mut self, id: &Name, now: Time) -> Option<Change> {
         if self.is_lapse(id, now) { self.lapse(id, now) } else { self.remove(id) }
     }
 
     /// Returns whether the removal of an entry does not prove that its server is gone.
     pub fn is_lapse(&self, id: &Name, now: Time) -> bool {
-        self.is_store_unreliable(now) && self.entries.get(id).is_some_and(|it| !it.is_draining)
+        let may_lapse = self.is_store_unavailable() || !self.is_settled(now);
+        may_lapse && self.entries.get(id).is_some_and(|it| !it.is_draining)
+    }
+
+    /// Returns whether this node knows that the store had no outage lately, so that a removal that a
+    /// peer takes for a lapse is none.
+    pub fn disproves_lapse(&self, now: Time) -> bool {
+        self.is_settled(now) && self.record.is_recent(self.failing_since, now)
     }
 
     /// Marks an entry as lapsed. Its server is kept until the entry has had time to reappear.
@@ -153,9 +174,9 @@
         if !self.entries.contains_key(id) {
             return None;
         }
-        if !self.is_store_unreliable(now) {
+        if self.is_settled(now) {
             // The peer that reported the lapse saw the store recover just before.
-            self.available_since = Some(now);
+            self.record.on_outage_end(now);
         }
         self.lapsed.insert(id.clone()).then(|| Change::Lapsed(id.clone()))
     }
@@ -167,7 +188,7 @@
 
     /// Removes the lapsed servers whose entries did not reappear in time.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
-        if self.lapsed.is_empty() || self.is_store_unreliable(now) {
+        if self.lapsed.is_empty() || !self.is_settled(now) {
             return Vec::new();
         }
         let gone: Vec<_> = self.lapsed.drain().collect();
@@ -187,10 +208,9 @@
         changes
     }
 
-    /// Returns whether the store is unavailable or has just recovered.
-    fn is_store_unreliable(&self, now: Time) -> bool {
-        self.is_store_unavailable()
-            || self.available_since.is_some_and(|it| now.since(it) < RESTORE_GRACE)
+    /// Returns whether lapsed entries have had time to reappear.
+    fn is_settled(&self, now: Time) -> bool {
+        self.record.is_settled(self.failing_since, now)
     }
 
     fn discard(&mut self, id: Name) -> Change {
--- /dev/null
+++ b/crates/core/src/directory/uptime.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// The shortest outage of the store that can make entries lapse. Servers write their entries every 1.2 s, and an entry
+/// lapses after three intervals without a write: a shorter outage prevents one write at most.
+const MIN_OUTAGE: Duration = Duration::from_millis(1_200);
+
+/// How long a lapsed entry may take to reappear once the store is available again. The platform
+/// promises about two seconds; the rest allows for delivery to this node.
+const RESTORE_GRACE: Duration = Duration::from_millis(2_300);
+
+/// The longest time between two answers of the store to a node whose watches are answered: a watch
+/// with its timeout, and the pause before it.
+const MAX_CONTACT_AGE: Duration = Duration::from_millis(3_500);
+
+/// A span of time in which the store had no outage that makes entries lapse.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Uptime {
+    /// The earliest time that the span is known to include.
+    pub since: Time,
+    /// The latest time that the span is known to include.
+    pub until: Time,
+}
+
+impl Uptime {
+    /// Creates the span of a single moment.
+    pub fn at(time: Time) -> Uptime {
+        Uptime { since: time, until: time }
+    }
+
+    /// Returns whether a span begins so soon after this one that there was no outage between them.
+    fn is_continued_by(&self, later: &Uptime) -> bool {
+        later.since <= self.until + MIN_OUTAGE
+    }
+}
+
+/// The latest uptime of the store, from the reads of this node and of others.
+///
+/// A node whose own reads fail can't tell an outage from a fault of its own connection. A read that was
+/// answered, here or at another node, shows that the store was available all the while.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Record {
+    uptime: Option<Uptime>,
+    /// Whether an outage preceded the uptime. A node that has just started knows of none.
+    is_after_outage: bool,
+    /// When the store came back from an older copy, which counts as the end of an outage.
+    restored: Time,
+}
+
+impl Record {
+    /// Returns the latest uptime, if any is known.
+    pub fn uptime(&self) -> Option<Uptime> {
+        self.uptime
+    }
+
+    /// Adds an uptime. It may bridge what seemed to be an outage.
+    pub fn add(&mut self, new: Uptime) {
+        let Some(known) = &mut self.uptime else {
+            self.uptime = Some(new);
+            return;
+        };
+        if !known.is_continued_by(&new) {
+            *known = new;
+            self.is_after_outage = true;
+        } else if new.is_continued_by(known) {
+            known.since = known.since.min(new.since).max(self.restored);
+            known.until = known.until.max(new.until);
+        }
+    }
+
+    /// Records that the store failed this node, which matters if nothing is known of it.
+    pub fn on_failure(&mut self, now: Time) {
+        self.uptime.get_or_insert(Uptime::at(now));
+    }
+
+    /// Records that an outage has ended.
+    pub fn on_outage_end(&mut self, now: Time) {
+        self.uptime = Some(Uptime::at(now));
+        self.is_after_outage = true;
+    }
+
+    /// Records that the store came back from an older copy.
+    pub fn on_restored(&mut self, now: Time) {
+        self.restored = now;
+        self.on_outage_end(now);
+    }
+
+    /// Returns whether entries that lapsed in an outage have had time to reappear. `failing_since` says since when
+    /// the store has failed this node, if it does.
+    pub fn is_settled(&self, failing_since: Option<Time>, now: Time) -> bool {
+        let Some(uptime) = self.uptime.filter(|_| self.is_after_outage) else { return true };
+        let until = if failing_since.is_some() { uptime.until } else { now };
+        until.since(uptime.since) >= RESTORE_GRACE
+    }
+
+    /// Returns whether the store has been available lately, although it may have failed this node.
+    pub fn is_recent(&self, failing_since: Option<Time>, now: Time) -> bool {
+        self.uptime.is_some_and(|it| {
+            let is_later = failing_since.is_none_or(|since| it.until > since);
+            is_later && now.since(it.until) <= MAX_CONTACT_AGE
+        })
+    }
+}
--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -136,7 +136,8 @@
 
     /// Applies the update of a peer to this node, which knew everything up to a position when it
     /// asked. The peer has decided which servers are gone and which entries lapsed; this node may
-    /// have been unable to read the store meanwhile, and can't decide that itself.
+    /// have been unable to read the store meanwhile, and knows better only if it learned meanwhile that
+    /// the store had no outage.
     pub fn apply(
         &mut self,
         after: Position,
@@ -156,7 +157,7 @@
                         events.extend(self.apply_plan(spec.clone(), after.era));
                     }
                 }
-                events.extend(self.apply_delta(after, delta, |_, it, _| it, balancer, now));
+                events.extend(self.apply_delta(after, delta, classify_reported, balancer, now));
                 events
             }
         }
@@ -207,7 +208,13 @@
         events.extend(self.set_closed(closed, balancer));
         let directory = balancer.directory_mut();
         let mut changes = replace(directory, entries);
-        changes.extend(lapsed.iter().filter_map(|it| directory.lapse(it, now)));
+        let reported = |it| classify_reported(directory, Fact::Lapsed(it), now);
+        let lapsed: Vec<_> = lapsed.into_iter().map(reported).collect();
+        changes.extend(lapsed.into_iter().filter_map(|it| match it {
+            Fact::Lapsed(id) => directory.lapse(&id, now),
+            Fact::Gone(id) => directory.remove(&id),
+            _ => None,
+        }));
         events.extend(notify(changes, balancer, now));
         if !is_first {
             self.note_urgent(&events);
@@ -307,6 +314,15 @@
     }
 }
 
+/// Turns a lapse that a peer reports into a removal if this node knows that the store had no outage.
+/// The peer may have lost the store by itself.
+fn classify_reported(directory: &Directory, fact: Fact, now: Time) -> Fact {
+    match fact {
+        Fact::Lapsed(id) if directory.disproves_lapse(now) => Fact::Gone(id),
+        _ => fact,
+    }
+}
+
 /// Notifies the balancer of changes and returns them as events.
 fn notify(
     changes: impl IntoIterator<Item = Change>,
--- a/crates/core/src/feed/mod.rs
+++ b/crates/core/src/feed/mod.rs
@@ -2,6 +2,7 @@
 //! store, or through a peer, either because the peer reads for others or because the store refuses
 //! this node.
 
+mod doubt;
 mod fact;
 mod lag;
 mod log;
@@ -16,6 +17,7 @@
 mod selector;
 
 pub use self::{
+    doubt::{has_doubtful_gap, has_doubtful_removal, witnesses},
     fact::{Fact, Snapshot, Update},
     lag::Lag,
     mirror::{Event, Mirror},
--- a/crates/core/tests/direct/mirror_updates.rs
+++ b/crates/core/tests/direct/mirror_updates.rs
@@ -2,7 +2,7 @@
 
 use mimosabridge::{
     balance::Balancer,
-    directory::Change,
+    directory::{Change, Uptime},
     feed::{Event, Fact, Mirror, Position, Progress, Snapshot, Update},
     name::Name,
     plan::Spec,
@@ -159,18 +159,19 @@
     let (mut reader, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     let server = Fact::Server(entry(1, "one", "a"));
     reader.replace(delta(10, vec![server.clone()]), &mut balancer, at(0));
+    let back = at(5_000);
     balancer.directory_mut().on_store_unavailable(at(0));
-    balancer.directory_mut().on_store_available(at(1));
-    reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
+    balancer.directory_mut().on_store_available(back, back);
+    reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, back);
     let update = reader.update_since(&known(10), &balancer).expect("the reader is ahead");
 
     let (mut follower, mut follower_balancer) = (Mirror::new(), Balancer::new(settings(), 2));
     follower.replace(delta(10, vec![server]), &mut follower_balancer, at(0));
     let lapsed = Event::Server(Change::Lapsed(Name::new("i-1")));
-    assert_eq!(follower.apply(on(10), update, &mut follower_balancer, at(3)), [lapsed]);
-    assert!(follower.tick(&mut follower_balancer, at(2_000)).is_empty(), "the entry may reappear");
+    assert_eq!(follower.apply(on(10), update, &mut follower_balancer, at(5_003)), [lapsed]);
+    assert!(follower.tick(&mut follower_balancer, at(7_000)).is_empty(), "the entry may reappear");
     let gone = Event::Server(Change::Removed(Name::new("i-1")));
-    assert_eq!(follower.tick(&mut follower_balancer, at(2_400)), [gone]);
+    assert_eq!(follower.tick(&mut follower_balancer, at(7_400)), [gone]);
 }
 
 /// Guards against a lapsed entry that is kept forever: its expiry has no revision, so a follower
@@ -179,14 +180,34 @@
 fn lapsed_in_snapshot() {
     let (mut reader, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
     reader.replace(delta(10, vec![Fact::Server(entry(1, "one", "a"))]), &mut balancer, at(0));
+    let back = at(5_000);
     balancer.directory_mut().on_store_unavailable(at(0));
-    balancer.directory_mut().on_store_available(at(1));
-    reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, at(2));
+    balancer.directory_mut().on_store_available(back, back);
+    reader.extend(on(10), delta(11, vec![Fact::Gone(Name::new("i-1"))]), &mut balancer, back);
 
     let (mut follower, mut follower_balancer) = (Mirror::new(), Balancer::new(settings(), 2));
     let update = reader.update_since(&known(0), &balancer).expect("the reader is ahead");
-    follower.apply(on(0), update, &mut follower_balancer, at(3));
+    follower.apply(on(0), update, &mut follower_balancer, at(5_003));
     assert_eq!(follower_balancer.directory().len(), 1, "the entry may reappear");
-    follower.tick(&mut follower_balancer, at(2_400));
+    follower.tick(&mut follower_balancer, at(7_400));
     assert!(follower_balancer.directory().is_empty());
 }
+
+/// Guards against a lapse that is passed on by a node that has lost the store alone: its neighbours used servers on that
+/// had left, although they knew that the store had no outage.
+#[test]
+fn reported_lapse_disproved() {
+    let (mut mirror, mut balancer) = (Mirror::new(), Balancer::new(settings(), 1));
+    let servers = (1..3).map(|it| Fact::Server(entry(it, "one", "a")));
+    mirror.replace(delta(10, servers.collect()), &mut balancer, at(0));
+    balancer.directory_mut().on_store_available(at(0), at(0));
+    balancer.directory_mut().on_store_unavailable(at(500));
+    let uptime = Uptime { since: at(0), until: at(5_000) };
+    balancer.directory_mut().on_peer_uptime(uptime);
+    let gone = |it: &str| Event::Server(Change::Removed(Name::new(it)));
+    let update = Update::Since(delta(11, vec![Fact::Lapsed(Name::new("i-1"))]));
+    assert_eq!(mirror.apply(on(10), update, &mut balancer, at(5_100)), [gone("i-1")]);
+    let facts = vec![Fact::Server(entry(2, "one", "a")), Fact::Lapsed(Name::new("i-2"))];
+    let update = Update::All(delta(12, facts));
+    assert_eq!(mirror.apply(on(11), update, &mut balancer, at(5_200)), [gone("i-2")]);
+}
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -66,6 +66,10 @@
 /// A server has stated a limit on its requests, or no longer states one.
 pub const LIMIT: Event = Event::new(5117, Level::Info, "server limit changed");
 
+/// Other nodes were asked whether servers whose entries were removed may have lapsed in an outage of
+/// the store.
+pub const CONFIRMED: Event = Event::new(5125, Level::Info, "removal checked with other nodes");
+
 /// A request was served.
 pub const SERVED: Event = Event::new(5201, Level::Info, "request served");
 /// A request was served with some shards missing.
@@ -120,6 +124,7 @@
     SERVER_LEAVING,
     SERVER_RESTING,
     UNKNOWN,
+    CONFIRMED,
     SERVED,
     PARTIAL,
     REFUSED,
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -63,7 +63,14 @@
     let age = Duration::from_millis(reply.contact_age_millis);
     exchange.on_contact(age);
     let now = shared.now();
-    shared.state.borrow_mut().balancer.directory_mut().on_peer_contact(now.before(age), now);
+    {
+        let state = &mut *shared.state.borrow_mut();
+        let directory = state.balancer.directory_mut();
+        directory.on_peer_contact(now.before(age));
+        if let Some(uptime) = reply.uptime {
+            directory.on_peer_uptime(uptime.uptime(now));
+        }
+    }
     let Some(update) = reply.told else { return false };
     apply_update(shared, exchange, progress.position, update, address, age);
     true
--- a/crates/direct/src/feed/follow.rs
+++ b/crates/direct/src/feed/follow.rs
@@ -74,9 +74,13 @@
     {
         let now = shared.now();
         let state = &mut *shared.state.borrow_mut();
+        let directory = state.balancer.directory_mut();
         match reply.is_away {
-            true => state.balancer.directory_mut().on_store_unavailable(now),
-            false => state.balancer.directory_mut().on_store_available(now),
+            true => directory.on_store_unavailable(now),
+            false => directory.on_upstream_available(reply.uptime.is_some(), now),
+        }
+        if let Some(uptime) = reply.uptime {
+            directory.on_peer_uptime(uptime.uptime(now));
         }
     }
     if let Some(update) = reply.told {
--- a/crates/direct/src/feed/mod.rs
+++ b/crates/direct/src/feed/mod.rs
@@ -1,6 +1,7 @@
 //! Follows the published facts, through the platform's store or a peer.
 
 mod catch_up;
+mod confirm;
 mod follow;
 mod read;
 mod scout;
--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -4,7 +4,7 @@
     time::Time,
 };
 
-use super::{Source, SourceError, catch_up};
+use super::{Source, SourceError, catch_up, confirm};
 use crate::{events, node::Shared, peers::Exchange};
 
 /// Performs the next step of a node that reads the store itself. While the store does not answer,
@@ -24,8 +24,9 @@
         }
         Step::List => {
             shared.metrics.store_calls.inc();
+            let sent = shared.now();
             tokio::select! {
-                result = (source.list)() => on_list(shared, exchange, reader, result),
+                result = (source.list)() => on_list(shared, exchange, reader, sent, result).await,
                 () = catch_up::while_unavailable(
                     shared,
                     exchange,
@@ -36,9 +37,10 @@
         Step::Watch { after, wait } => {
             shared.metrics.store_calls.inc();
             exchange.on_read();
+            let sent = shared.now();
             tokio::select! {
                 result = (source.watch)(after, wait, ANSWER_TIMEOUT) => {
-                    on_watch(shared, exchange, reader, after, result);
+                    on_watch(shared, exchange, reader, after, sent, result).await;
                 }
                 // A connection may have been lost while this process was paused.
                 () = shared.resumed.notified() => {}
@@ -54,15 +56,17 @@
     }
 }
 
-fn on_list(
+async fn on_list(
     shared: &Shared,
     exchange: &Exchange,
     reader: &mut Reader,
+    sent: Time,
     result: Result<Snapshot, SourceError>,
 ) {
     match result {
         Ok(snapshot) => {
-            on_answer(shared, exchange, reader);
+            on_answer(shared, exchange, reader, sent);
+            confirm::gap(shared, exchange, &snapshot).await;
             apply(shared, exchange, |mirror, balancer, now| {
                 mirror.replace(snapshot, balancer, now)
             });
@@ -72,11 +76,12 @@
     }
 }
 
-fn on_watch(
+async fn on_watch(
     shared: &Shared,
     exchange: &Exchange,
     reader: &mut Reader,
     after: Position,
+    sent: Time,
     result: Result<Snapshot, SourceError>,
 ) {
     match result {
@@ -86,7 +91,8 @@
                 log_discontinued(&after, &delta.position);
                 return;
             }
-            on_answer(shared, exchange, reader);
+            on_answer(shared, exchange, reader, sent);
+            confirm::removals(shared, exchange, &delta).await;
             apply(shared, exchange, |mirror, balancer, now| {
                 mirror.extend(after, delta, balancer, now)
             });
@@ -126,23 +132,29 @@
     }
 }
 
-fn on_answer(shared: &Shared, exchange: &Exchange, reader: &Reader) {
+fn on_answer(shared: &Shared, exchange: &Exchange, reader: &Reader, sent: Time) {
     exchange.on_contact(std::time::Duration::ZERO);
     let now = shared.now();
     if reader.is_store_unavailable() {
         let age = reader.contact_age(now).as_millis();
         events::STORE_BACK.emit(&[("away_millis", &age)]);
     }
-    shared.state.borrow_mut().balancer.directory_mut().on_store_available(now);
+    shared.state.borrow_mut().balancer.directory_mut().on_store_available(sent, now);
 }
 
 fn on_failure(shared: &Shared, reader: &mut Reader, error: &SourceError) {
+    let was_unavailable = reader.is_store_unavailable();
+    reader.on_failure(rand::random(), shared.now());
+    record_failure(shared, reader, was_unavailable, error);
+}
+
+/// Records a failed read, which `reader` counts already.
+fn record_failure(shared: &Shared, reader: &Reader, was_unavailable: bool, error: &SourceError) {
     shared.metrics.store_failures.inc();
     let now = shared.now();
-    if !reader.is_store_unavailable() {
+    if !was_unavailable {
         let age = reader.contact_age(now).as_millis();
         events::STORE_LOST.emit(&[("error", error), ("age_millis", &age)]);
     }
-    reader.on_failure(rand::random(), now);
     shared.state.borrow_mut().balancer.directory_mut().on_store_unavailable(now);
 }
--- a/crates/direct/src/feed/scout.rs
+++ b/crates/direct/src/feed/scout.rs
@@ -4,7 +4,7 @@
 use mimosabridge_node::timer;
 use tokio::sync::mpsc;
 
-use super::{Source, read};
+use super::{Source, confirm, read};
 use crate::{events, node::Shared, peers::Exchange};
 
 /// Watches the store beside the readers whenever it is this node's turn. Never returns while the
@@ -29,6 +29,7 @@
         return;
     }
     shared.metrics.store_calls.inc();
+    let sent = shared.now();
     let result = tokio::select! {
         result = (source.watch)(after, SCOUT_WAIT, ANSWER_TIMEOUT) => result,
         // A connection may have been lost while this process was paused.
@@ -38,7 +39,8 @@
         Ok(delta) if delta.position.continues(&after) => {
             exchange.on_contact(Duration::ZERO);
             let now = shared.now();
-            shared.state.borrow_mut().balancer.directory_mut().on_store_available(now);
+            shared.state.borrow_mut().balancer.directory_mut().on_store_available(sent, now);
+            confirm::removals(shared, exchange, &delta).await;
             read::apply(shared, exchange, |mirror, balancer, now| {
                 mirror.extend(after, delta, balancer, now)
             });
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -7,7 +7,7 @@
 };
 
 use mimosabridge::{
-    feed::{Lag, Progress, Scout, Selector, Upstream},
+    feed::{self, Lag, Progress, Scout, Selector, Upstream},
     member::{Action, Datagram, Peer, Record, SizeEstimator, State},
     name::Name,
     time::Time,
@@ -21,7 +21,7 @@
 
 use super::{
     packed::pack,
-    rpc::{PendingQuestion, PublishedServer, Question, Reply, Server},
+    rpc::{PendingQuestion, PublishedServer, Question, Reply, Server, UptimeAge},
     waitlist::Waitlist,
 };
 use crate::{
@@ -183,6 +183,13 @@
         others.map(|it| it.rpc).choose(&mut *self.inner.rng.borrow_mut())
     }
 
+    /// Returns the RPC addresses of nodes that can tell whether the store was available while this node
+    /// could not read it.
+    pub fn witnesses(&self) -> Vec<SocketAddr> {
+        let peer = self.inner.peer.borrow();
+        feed::witnesses(peer.roster(), peer.own(), &mut *self.inner.rng.borrow_mut())
+    }
+
     /// Announces to the other nodes that this node stops.
     pub fn leave(&self) {
         let now = self.inner.shared.now();
@@ -325,13 +332,16 @@
     }
 
     fn answer(&self, question: &Question) -> Reply {
-        let age = self.shared.now().since(self.contact.get());
+        let now = self.shared.now();
+        let age = now.since(self.contact.get());
         let packed = if question.accepts_packed { self.packed(&question.progress) } else { None };
         let state = self.shared.state.borrow();
+        let uptime = state.balancer.directory().uptime();
         let told = || state.mirror.update_since(&question.progress, &state.balancer);
         Reply {
             contact_age_millis: age.as_millis() as u64,
             is_away: state.balancer.directory().is_store_unavailable(),
+            uptime: uptime.map(|it| UptimeAge::new(it, now)),
             told: if packed.is_none() { told() } else { None },
             packed,
         }
--- a/crates/direct/src/peers/mod.rs
+++ b/crates/direct/src/peers/mod.rs
@@ -13,5 +13,5 @@
     exchange::{Exchange, start},
     fetch::{Connection, fetch},
     packed::{UnpackError, pack, unpack},
-    rpc::{Question, Reply},
+    rpc::{Question, Reply, UptimeAge},
 };
--- a/crates/direct/src/peers/rpc.rs
+++ b/crates/direct/src/peers/rpc.rs
@@ -1,9 +1,15 @@
+use std::time::Duration;
+
 use jsonrpsee::{
     core::{RpcResult, async_trait},
     proc_macros::rpc,
     types::{ErrorObjectOwned, error::INTERNAL_ERROR_CODE},
 };
-use mimosabridge::feed::{Progress, Update};
+use mimosabridge::{
+    directory::Uptime,
+    feed::{Progress, Update},
+    time::Time,
+};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
@@ -39,6 +45,10 @@
     pub contact_age_millis: u64,
     /// Whether the store is unavailable to the node.
     pub is_away: bool,
+    /// When the store was last available, to the node or to others. Nodes of earlier versions send
+    /// none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub uptime: Option<UptimeAge>,
     /// The update that the asking node lacks, if any.
     pub told: Option<Update>,
     /// The same update packed, in the place of a long one. Nodes of earlier versions send none.
@@ -46,6 +56,29 @@
     pub packed: Option<String>,
 }
 
+/// An uptime of the store, as ages: the clocks of nodes differ.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UptimeAge {
+    /// The age of its beginning, in milliseconds.
+    pub since_millis: u64,
+    /// The age of its end, in milliseconds.
+    pub until_millis: u64,
+}
+
+impl UptimeAge {
+    /// Creates the ages of an uptime.
+    pub fn new(uptime: Uptime, now: Time) -> UptimeAge {
+        let age = |it: Time| now.since(it).as_millis() as u64;
+        UptimeAge { since_millis: age(uptime.since), until_millis: age(uptime.until) }
+    }
+
+    /// Returns the uptime, if it has these ages now.
+    pub fn uptime(self, now: Time) -> Uptime {
+        let time = |millis| now.before(Duration::from_millis(millis));
+        Uptime { since: time(self.since_millis), until: time(self.until_millis) }
+    }
+}
+
 impl Reply {
     /// Replaces a packed update by the update itself. Fails if it can't be read.
     pub fn unpacked(mut self) -> Result<Reply, UnpackError> {
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -21,7 +21,7 @@
     plan::{Gather, Limits, Repeat, Rule, Service, Spec, Target},
 };
 use mimosabridge_direct::{
-    feed::Source,
+    feed::{Source, SourceError},
     node::{self, Reload, Settings},
     wire::Headers,
 };
@@ -76,6 +76,8 @@
     pub peer: SocketAddr,
     /// The number of watches of the store that this node has started.
     pub watches: Rc<Cell<usize>>,
+    /// Whether the store turns this node away.
+    pub is_turned_away: Rc<Cell<bool>>,
 }
 
 /// Runs a test on the current thread, with a timeout.
@@ -110,6 +112,7 @@
         seeds: BTreeSet<SocketAddr>,
     ) -> Node {
         let watches = Rc::new(Cell::new(0));
+        let is_turned_away = Rc::new(Cell::new(false));
         let own = own_address();
         let [front, ready, peer, rpc, metrics] =
             [1, 2, 3, 4, 5].map(|it| SocketAddr::new(own, BASE_PORT + it));
@@ -126,13 +129,13 @@
             balance: balance_settings(),
             headers: headers(),
             ready_path: "/ready",
-            source: source(published.clone(), watches.clone()),
+            source: source(published.clone(), watches.clone(), is_turned_away.clone()),
             reload: Box::new(|| Reload { grace: None, message: String::new() }),
         };
         tokio::task::spawn_local(async move {
             node::run(settings, 1).await.expect("the node starts");
         });
-        let node = Node { front, ready, metrics, published, peer, watches };
+        let node = Node { front, ready, metrics, published, peer, watches, is_turned_away };
         while get(node.ready, "/ready").await.is_none_or(|it| it.status != 200) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -140,19 +143,28 @@
     }
 }
 
-fn source(published: Rc<RefCell<Snapshot>>, watches: Rc<Cell<usize>>) -> Source {
+fn source(
+    published: Rc<RefCell<Snapshot>>,
+    watches: Rc<Cell<usize>>,
+    is_turned_away: Rc<Cell<bool>>,
+) -> Source {
     let watched = published.clone();
+    let is_refused = is_turned_away.clone();
+    let refused = || SourceError::Failed { reason: "turned away".to_owned() };
     Source {
         list: Box::new(move || {
             let snapshot = published.borrow().clone();
-            Box::pin(async move { Ok(snapshot) })
+            let is_refused = is_refused.get();
+            Box::pin(async move { if is_refused { Err(refused()) } else { Ok(snapshot) } })
         }),
         watch: Box::new(move |after, wait, _| {
             let published = watched.clone();
+            let is_refused = is_turned_away.clone();
             watches.set(watches.get() + 1);
             Box::pin(async move {
-                let is_changed = || published.borrow().position > after;
+                let is_changed = || is_refused.get() || published.borrow().position > after;
                 match tokio::time::timeout(wait, wait_until(is_changed)).await {
+                    _ if is_refused.get() => Err(refused()),
                     Ok(()) => Ok(published.borrow().clone()),
                     Err(_) => Ok(Snapshot { position: after, facts: Vec::new() }),
                 }
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -21,4 +21,5 @@
 mod served_requests;
 mod stale_connections;
 mod stranded_nodes;
+mod turned_away_reader;
 mod unseen_ends;
--- a/crates/direct/tests/node/packed_updates.rs
+++ b/crates/direct/tests/node/packed_updates.rs
@@ -9,7 +9,7 @@
     name::Name,
     plan::{Limits, Repeat, Rule, Spec, Target},
 };
-use mimosabridge_direct::peers::{Question, Reply, pack, unpack};
+use mimosabridge_direct::peers::{Question, Reply, UptimeAge, pack, unpack};
 
 fn update(rules: usize) -> Update {
     let rule = |number| Rule {
@@ -131,7 +131,10 @@
     let old: OldQuestion = serde_json::from_str(&text).expect("the question is read");
     assert_eq!((old.progress, old.is_away, old.wait_millis), (progress, true, 9));
     let told = Some(update(3));
-    let reply = Reply { contact_age_millis: 4, is_away: true, told: told.clone(), packed: None };
+    let uptime = Some(UptimeAge { since_millis: 9_000, until_millis: 4 });
+    let told_whole = told.clone();
+    let reply =
+        Reply { contact_age_millis: 4, is_away: true, uptime, told: told_whole, packed: None };
     let text = serde_json::to_string(&reply).expect("the reply can be written");
     let old: OldReply = serde_json::from_str(&text).expect("the reply is read");
     assert_eq!((old.contact_age_millis, old.is_away, old.told), (4, true, told));
