Count a cut watch as no outage of the store

Cause: one failed read counted as an outage. A removal within 2.3 s of its end was a lapse, and the next cut began the outage anew. The probe after a cut waited up to 1 s for a change before it showed that the store answers.

Change: SourceError::Cut for the end of a connection. The first in a row is no failure and extends the known uptime to the moment of the cut; the next watch follows within 0.23 s and waits for 50 ms only. A second one in a row is a failure.

--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -87,6 +87,11 @@
         self.record.add(Uptime { since: sent, until: now });
     }
 
+    /// Records that the store closed the connection of a read that was sent at `sent` and waited for a change.
+    pub fn on_watch_cut(&mut self, sent: Time, now: Time) {
+        self.record.extend(Uptime { since: sent, until: now });
+    }
+
     /// Records that the peer that this node follows can read the store. A peer of an earlier build does
     /// not state its uptime (`states_uptime`); it was available unless the peer has said otherwise.
     pub fn on_upstream_available(&mut self, states_uptime: bool, now: Time) {
--- a/crates/core/src/directory/uptime.rs
+++ b/crates/core/src/directory/uptime.rs
@@ -69,6 +69,13 @@
         }
     }
 
+    /// Adds an uptime, unless there may have been an outage before it.
+    pub fn extend(&mut self, new: Uptime) {
+        if self.uptime.is_none_or(|it| it.is_continued_by(&new)) {
+            self.add(new);
+        }
+    }
+
     /// Records that the store failed this node, which matters if nothing is known of it.
     pub fn on_failure(&mut self, now: Time) {
         self.uptime.get_or_insert(Uptime::at(now));
--- a/crates/core/src/feed/reader.rs
+++ b/crates/core/src/feed/reader.rs
@@ -20,6 +20,9 @@
 /// answer shows that the store has recovered.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// How long a watch waits after one that was cut. A store that cuts watches answers this one.
+const SHORT_PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// The backoff after the first failed read. It doubles with each further failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -51,6 +54,8 @@
     /// The store no longer holds the changes since the known revision.
     is_history_expired: bool,
     failures: u32,
+    /// The store has closed the connection of the last read.
+    was_cut: bool,
     next_read: Time,
     last_contact: Time,
 }
@@ -58,7 +63,13 @@
 impl Reader {
     /// Creates a reader that has read nothing.
     pub fn new(now: Time) -> Reader {
-        Reader { is_history_expired: false, failures: 0, next_read: now, last_contact: now }
+        Reader {
+            is_history_expired: false,
+            failures: 0,
+            was_cut: false,
+            next_read: now,
+            last_contact: now,
+        }
     }
 
     /// Returns the next step. `known` is the position up to which this node knows everything, from
@@ -70,7 +81,11 @@
         if known.is_start() || self.is_history_expired {
             return Step::List;
         }
-        let wait = if self.is_store_unavailable() { PROBE_TIMEOUT } else { WATCH_TIMEOUT };
+        let wait = match () {
+            () if self.was_cut => SHORT_PROBE_TIMEOUT,
+            () if self.is_store_unavailable() => PROBE_TIMEOUT,
+            () => WATCH_TIMEOUT,
+        };
         Step::Watch { after: known, wait }
     }
 
@@ -83,6 +98,7 @@
     /// Records that the store answered a watch.
     pub fn on_watch(&mut self, now: Time) {
         self.failures = 0;
+        self.was_cut = false;
         self.last_contact = now;
         self.next_read = now + WATCH_INTERVAL;
     }
@@ -106,11 +122,25 @@
         self.next_read = now;
     }
 
+    /// Records that the store has closed the connection of a read. Returns whether that counts as a failure:
+    /// the store may cut a watch that waits, but not the next read, too.
+    pub fn on_cut(&mut self, jitter: f64, now: Time) -> bool {
+        let is_failure = self.was_cut || self.is_store_unavailable();
+        if is_failure {
+            self.on_failure(jitter, now);
+        } else {
+            self.next_read = now + INITIAL_BACKOFF.mul_f64(0.5 + jitter);
+        }
+        self.was_cut = true;
+        is_failure
+    }
+
     /// Records that a read failed. `jitter`, from 0 to 1, keeps nodes from retrying at the same
     /// time.
     pub fn on_failure(&mut self, jitter: f64, now: Time) {
         let backoff = (INITIAL_BACKOFF * 2_u32.pow(self.failures.min(6))).min(MAX_BACKOFF);
         self.failures += 1;
+        self.was_cut = false;
         self.next_read = now + backoff.mul_f64(0.5 + jitter);
     }
 
--- a/crates/core/tests/direct/lapsed_entries.rs
+++ b/crates/core/tests/direct/lapsed_entries.rs
@@ -153,6 +153,17 @@
     assert_eq!(directory.on_removed(&id, at(1_800)), Some(Change::Removed(id)));
 }
 
+/// A watch that waited shows that the store was available until it was cut.
+#[test]
+fn cut_watch_ignored() {
+    let mut directory = directory();
+    directory.on_store_available(at(0), at(700));
+    directory.on_watch_cut(at(1_400), at(3_300));
+    directory.on_store_available(at(3_500), at(3_500));
+    let id = entry(1, "one", "a").id;
+    assert_eq!(directory.on_removed(&id, at(3_500)), Some(Change::Removed(id)));
+}
+
 /// A store that comes back from an older copy lacks entries that other nodes have seen in it until then.
 #[test]
 fn restore_not_bridged() {
--- a/crates/core/tests/direct/store_reads.rs
+++ b/crates/core/tests/direct/store_reads.rs
@@ -85,6 +85,23 @@
     assert!(!reader.is_store_unavailable());
 }
 
+/// Guards against one cut watch that counts as an outage of the store.
+#[test]
+fn cut_watch_harmless() {
+    let mut reader = Reader::new(at(0));
+    reader.on_list(at(1));
+    assert!(!reader.on_cut(0.5, at(2_000)));
+    assert!(!reader.is_store_unavailable());
+    let Step::Pause(until) = reader.step(on(7), at(2_000)) else { panic!("no pause after a cut") };
+    assert!(until <= at(2_250), "a store that has gone must be noticed soon");
+    let Step::Watch { wait, .. } = reader.step(on(7), until) else { panic!("no watch") };
+    assert!(wait <= Duration::from_millis(100), "only an answer shows that the store is available");
+    assert!(reader.on_cut(0.5, until), "two cuts in a row are a failure");
+    assert!(reader.is_store_unavailable());
+    reader.on_watch(at(3_000));
+    assert!(!reader.on_cut(0.5, at(5_000)), "a cut after an answer is the first again");
+}
+
 #[test]
 fn backoff_bounded() {
     let mut reader = Reader::new(at(0));
--- a/crates/direct/src/feed/read.rs
+++ b/crates/direct/src/feed/read.rs
@@ -103,6 +103,7 @@
             events::TROUBLE.emit(&[("operation", &"watch the store"), ("error", &error)]);
             reader.on_history_expired(shared.now());
         }
+        Err(error @ SourceError::Cut { .. }) => on_cut(shared, reader, sent, &error),
         Err(error) => on_failure(shared, reader, &error),
     }
 }
@@ -142,6 +143,18 @@
     shared.state.borrow_mut().balancer.directory_mut().on_store_available(sent, now);
 }
 
+/// Handles the end of the connection of a watch.
+fn on_cut(shared: &Shared, reader: &mut Reader, sent: Time, error: &SourceError) {
+    let now = shared.now();
+    let was_unavailable = reader.is_store_unavailable();
+    if reader.on_cut(rand::random(), now) {
+        record_failure(shared, reader, was_unavailable, error);
+    } else {
+        events::TROUBLE.emit(&[("operation", &"watch the store"), ("error", error)]);
+        shared.state.borrow_mut().balancer.directory_mut().on_watch_cut(sent, now);
+    }
+}
+
 fn on_failure(shared: &Shared, reader: &mut Reader, error: &SourceError) {
     let was_unavailable = reader.is_store_unavailable();
     reader.on_failure(rand::random(), shared.now());
--- a/crates/direct/src/feed/source.rs
+++ b/crates/direct/src/feed/source.rs
@@ -26,6 +26,12 @@
     /// changes.
     #[snafu(display("the answer is too long"))]
     TooLong,
+    /// The store closed the connection before the end of its answer.
+    #[snafu(display("{reason}"))]
+    Cut {
+        /// What happened.
+        reason: String,
+    },
     /// The store did not answer, or its answer was unexpected.
     #[snafu(display("{reason}"))]
     Failed {
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -76,8 +76,27 @@
     pub peer: SocketAddr,
     /// The number of watches of the store that this node has started.
     pub watches: Rc<Cell<usize>>,
-    /// Whether the store turns this node away.
-    pub is_turned_away: Rc<Cell<bool>>,
+    /// What the store does with the reads of this node.
+    pub access: Rc<Cell<Access>>,
+}
+
+/// What the store does with the reads of a node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Access {
+    Answered,
+    TurnedAway,
+    /// Connections are closed, also those of watches that wait.
+    Cut,
+}
+
+impl Access {
+    fn error(self) -> Option<SourceError> {
+        match self {
+            Access::Answered => None,
+            Access::TurnedAway => Some(SourceError::Failed { reason: "turned away".to_owned() }),
+            Access::Cut => Some(SourceError::Cut { reason: "cut".to_owned() }),
+        }
+    }
 }
 
 /// Runs a test on the current thread, with a timeout.
@@ -112,7 +131,7 @@
         seeds: BTreeSet<SocketAddr>,
     ) -> Node {
         let watches = Rc::new(Cell::new(0));
-        let is_turned_away = Rc::new(Cell::new(false));
+        let access = Rc::new(Cell::new(Access::Answered));
         let own = own_address();
         let [front, ready, peer, rpc, metrics] =
             [1, 2, 3, 4, 5].map(|it| SocketAddr::new(own, BASE_PORT + it));
@@ -129,13 +148,13 @@
             balance: balance_settings(),
             headers: headers(),
             ready_path: "/ready",
-            source: source(published.clone(), watches.clone(), is_turned_away.clone()),
+            source: source(published.clone(), watches.clone(), access.clone()),
             reload: Box::new(|| Reload { grace: None, message: String::new() }),
         };
         tokio::task::spawn_local(async move {
             node::run(settings, 1).await.expect("the node starts");
         });
-        let node = Node { front, ready, metrics, published, peer, watches, is_turned_away };
+        let node = Node { front, ready, metrics, published, peer, watches, access };
         while get(node.ready, "/ready").await.is_none_or(|it| it.status != 200) {
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
@@ -146,25 +165,28 @@
 fn source(
     published: Rc<RefCell<Snapshot>>,
     watches: Rc<Cell<usize>>,
-    is_turned_away: Rc<Cell<bool>>,
+    access: Rc<Cell<Access>>,
 ) -> Source {
     let watched = published.clone();
-    let is_refused = is_turned_away.clone();
-    let refused = || SourceError::Failed { reason: "turned away".to_owned() };
+    let listed = access.clone();
     Source {
         list: Box::new(move || {
             let snapshot = published.borrow().clone();
-            let is_refused = is_refused.get();
-            Box::pin(async move { if is_refused { Err(refused()) } else { Ok(snapshot) } })
+            let error = listed.get().error();
+            Box::pin(async move { error.map_or(Ok(snapshot), Err) })
         }),
         watch: Box::new(move |after, wait, _| {
             let published = watched.clone();
-            let is_refused = is_turned_away.clone();
+            let access = access.clone();
             watches.set(watches.get() + 1);
             Box::pin(async move {
-                let is_changed = || is_refused.get() || published.borrow().position > after;
-                match tokio::time::timeout(wait, wait_until(is_changed)).await {
-                    _ if is_refused.get() => Err(refused()),
+                let has_failed = || access.get() != Access::Answered;
+                let is_over = || has_failed() || published.borrow().position > after;
+                let result = tokio::time::timeout(wait, wait_until(is_over)).await;
+                if let Some(error) = access.get().error() {
+                    return Err(error);
+                }
+                match result {
                     Ok(()) => Ok(published.borrow().clone()),
                     Err(_) => Ok(Snapshot { position: after, facts: Vec::new() }),
                 }
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod closed_connections;
 mod crashing_contents;
 mod cut_answers;
+mod cut_watches;
 mod endless_answers;
 mod followed_reader;
 mod invalid_answers;
--- a/crates/direct/tests/node/turned_away_reader.rs
+++ b/crates/direct/tests/node/turned_away_reader.rs
@@ -5,7 +5,7 @@
 use mimosabridge::feed::{Fact, Position, Snapshot};
 use tokio::time::{Instant, sleep};
 
-use crate::env::{Behavior, Node, Server, ask, request, run};
+use crate::env::{Access, Behavior, Node, Server, ask, request, run};
 
 /// How long after the removal of its entry a server may get requests.
 const MAX_USE: Duration = Duration::from_secs(3);
@@ -32,7 +32,7 @@
         }
         // Gives the nodes time to discover each other, and to take turns at the store.
         sleep(Duration::from_millis(5_500)).await;
-        reader.is_turned_away.set(true);
+        reader.access.set(Access::TurnedAway);
         let (began, mut facts) = (Instant::now(), Vec::new());
         let mut removed: Vec<(Instant, usize)> = Vec::new();
         while began.elapsed() < REMOVAL_INTERVAL * SERVERS as u32 {
