Reject answers whose status is none

Cause: http::StatusCode takes 100 to 999; classify took any signed answer that is no success for a failure of the server.

Ruled out: 000, 099, 199 and 1000.

Change: wire::is_final; an answer with another status is invalid before anything else of its head counts, also a rejection. The same for the answers of other nodes to relayed requests.

--- a/crates/direct/src/backend/classify.rs
+++ b/crates/direct/src/backend/classify.rs
@@ -2,7 +2,7 @@
 use mimosabridge::scatter::End;
 
 use super::{History, Identity};
-use crate::wire::Headers;
+use crate::wire::{self, Headers};
 
 /// Classifies the end of an attempt by the head of a complete answer, over a connection with a
 /// history.
@@ -16,6 +16,9 @@
     history: History,
     names: &Headers,
 ) -> End {
+    if !wire::is_final(status) {
+        return End::Invalid;
+    }
     let identity = Identity::new(headers, &names.request_id, id);
     let is_misdirected = status == StatusCode::MISDIRECTED_REQUEST;
     let is_rejection = is_misdirected || headers.contains_key(&names.not_run);
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -78,6 +78,8 @@
     match sent {
         None => (Ending::Silent, None),
         Some(Ok(answer)) if identity(&answer) == Identity::Other => (Ending::Broken, None),
+        // Nodes of earlier versions pass it on.
+        Some(Ok(answer)) if !wire::is_final(answer.status()) => (Ending::Broken, None),
         Some(Ok(answer)) => {
             let is_marked = answer.headers().contains_key(&NOT_SERVED);
             let is_named = identity(&answer) == Identity::Own;
--- a/crates/direct/src/wire/mod.rs
+++ b/crates/direct/src/wire/mod.rs
@@ -4,9 +4,11 @@
 mod arrived;
 mod headers;
 mod hops;
+mod status;
 
 pub use self::{
     arrived::read_arrived,
     headers::Headers,
     hops::{closes, strip},
+    status::is_final,
 };
--- a/crates/direct/tests/node/classified_answers.rs
+++ b/crates/direct/tests/node/classified_answers.rs
@@ -23,6 +23,10 @@
 #[case::shed_other(503, &[("x-refused", "1"), ("x-id", "q")], End::Invalid)]
 #[case::busy_other(429, &[("x-refused", "1"), ("x-id", "q")], End::Invalid)]
 #[case::misdirected_other(421, &[("x-id", "q")], End::Invalid)]
+#[case::status_101(101, &[("x-signature", "s"), ("x-id", "r")], End::Invalid)]
+#[case::status_600(600, &[("x-signature", "s"), ("x-id", "r")], End::Invalid)]
+#[case::status_999(999, &[("x-signature", "s"), ("x-id", "r")], End::Invalid)]
+#[case::shed_600(600, &[("x-refused", "1"), ("x-id", "r")], End::Invalid)]
 #[case::two_identities(503, &[("x-refused", "1"), ("x-id", "r"), ("x-id", "q")], End::Invalid)]
 fn by_head(#[case] status: u16, #[case] fields: &[(&str, &str)], #[case] expected: End) {
     assert_eq!(classified(status, fields, History::New), expected);
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -47,6 +47,8 @@
     /// It sends these bytes again and again after the head of an answer, or in its place, until the
     /// connection is closed.
     Endless(&'static str, &'static str),
+    /// It answers with this status, signed.
+    Status(&'static str),
     /// It answers 503 without the header that says that the request has not run.
     Bare503,
 }
@@ -195,6 +197,7 @@
             }
             Behavior::Correct | Behavior::Crash | Behavior::End(_) => answer(&request_id, &body),
             Behavior::Shed => rejection("503 Full", &request_id, &more),
+            Behavior::Status(status) => answer(&request_id, &body).replacen("200", status, 1),
             Behavior::Bare503 => format!(
                 "HTTP/1.1 503 Broken\r\nx-id: {request_id}\r\nx-signature: {id}.{number}\r\n\
                  content-length: 0\r\n\r\n"
--- a/crates/direct/tests/node/invalid_answers.rs
+++ b/crates/direct/tests/node/invalid_answers.rs
@@ -9,6 +9,13 @@
 #[case::closed(Behavior::Closed)]
 #[case::other_request(Behavior::OtherRequest)]
 #[case::bare_503(Behavior::Bare503)]
+#[case::status_000(Behavior::Status("000"))]
+#[case::status_099(Behavior::Status("099"))]
+#[case::status_101(Behavior::Status("101"))]
+#[case::status_199(Behavior::Status("199"))]
+#[case::status_600(Behavior::Status("600"))]
+#[case::status_999(Behavior::Status("999"))]
+#[case::status_1000(Behavior::Status("1000"))]
 fn never_a_success(#[case] behavior: Behavior) {
     run(async {
         let server = Server::start("i-1", "one", behavior).await;
@@ -24,6 +31,8 @@
 #[case::truncated(Behavior::Truncated)]
 #[case::closed(Behavior::Closed)]
 #[case::other_request(Behavior::OtherRequest)]
+#[case::status_000(Behavior::Status("000"))]
+#[case::status_600(Behavior::Status("600"))]
 fn idempotent_retried(#[case] behavior: Behavior) {
     run(async {
         let bad = Server::start("i-1", "one", behavior).await;
