Bound the memory that all answers of a node take together

Cause: MAX_ANSWER_BYTES bounds one answer. A node reads hundreds at a time, each until the deadline of its request.

Ruled out: heads without end.

Bytes count when they are read and until the body is dropped (Bytes::from_owner). Above it, answers that take more than an equal part are cut, which ends the attempt as invalid.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fingerprint;
 pub mod gate;
 pub mod member;
+pub mod memory;
 pub mod name;
 pub mod outcome;
 pub mod place;
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -9,6 +9,7 @@
 mod production;
 
 mod aged_latencies;
+mod answer_memory;
 mod budget_window;
 mod choice_of_server;
 mod cold_share;
--- a/crates/direct/src/backend/exchange.rs
+++ b/crates/direct/src/backend/exchange.rs
@@ -10,7 +10,7 @@
 };
 use mimosabridge_node::clock::Clock;
 
-use super::{Identity, Link, LinkError, Notice, Pool, Reply, classify};
+use super::{Identity, LinkError, Notice, Pool, Reply, classify};
 use crate::{events, wire::Headers};
 
 /// A request as it is sent to servers, without the headers that differ between attempts.
@@ -63,7 +63,7 @@
     let server = &attempt.server.id;
     let mut link = match pool.take(server, outgoing, clock.now()).await {
         Some(link) => link,
-        None => match Link::open(attempt.server.address, clock.now()).await {
+        None => match pool.open(attempt.server.address, clock.now()).await {
             Ok(link) => link,
             Err(error) => {
                 // Idle connections to a server that accepts no new ones are useless.
--- a/crates/direct/src/backend/health.rs
+++ b/crates/direct/src/backend/health.rs
@@ -5,7 +5,7 @@
 use mimosabridge_node::clock::Clock;
 use snafu::Snafu;
 
-use super::{Link, LinkError, Notice};
+use super::{LinkError, Notice, Pool};
 use crate::wire::Headers;
 
 /// The path of the health check of a server whose service the configuration does not name.
@@ -40,6 +40,7 @@
 /// Asks a server for its health, over a new connection, which is closed then: its answer names no
 /// request, so that a late copy would be taken for the answer to the next one.
 pub async fn ask_health(
+    pool: &Pool,
     clock: Clock,
     server: &Entry,
     plan: &Plan,
@@ -48,7 +49,7 @@
     let path = plan.service(&server.service).map_or(DEFAULT_PATH, |it| it.health_path.as_str());
     let request = Request::get(path).header(header::HOST, server.address.to_string());
     let request = request.body(Full::new(Bytes::new()))?;
-    let mut link = Link::open(server.address, clock.now()).await?;
+    let mut link = pool.open(server.address, clock.now()).await?;
     let answer = link.exchange(request).await?;
     let id = answer.headers().get(&names.server_id).map(HeaderValue::to_str);
     let id = id.and_then(Result::ok).map(Name::new);
--- a/crates/direct/src/backend/limited.rs
+++ b/crates/direct/src/backend/limited.rs
@@ -1,5 +1,5 @@
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     io::{self, IoSlice},
     pin::Pin,
     rc::Rc,
@@ -11,6 +11,7 @@
     net::TcpStream,
 };
 
+use super::memory::{Charge, Memory};
 use crate::wire::read_arrived;
 
 /// A connection from which only a limited number of bytes can be read.
@@ -34,26 +35,38 @@
     }
 }
 
-/// The number of bytes that may still be read from a connection. Clones share it.
+/// What may still be read from a connection: a number of bytes, and what the memory of the node admits.
+/// Clones share it.
 #[derive(Clone, Debug)]
 pub struct Allowance {
     remaining: Rc<Cell<usize>>,
+    memory: Memory,
+    charge: Rc<RefCell<Charge>>,
 }
 
 impl Allowance {
-    /// Creates an allowance of some bytes.
-    pub fn new(bytes: usize) -> Allowance {
-        Allowance { remaining: Rc::new(Cell::new(bytes)) }
+    /// Creates an allowance of some bytes, which count in `memory`.
+    pub fn new(bytes: usize, memory: Memory) -> Allowance {
+        let charge = Rc::new(RefCell::new(Charge::new(&memory)));
+        Allowance { remaining: Rc::new(Cell::new(bytes)), memory, charge }
     }
 
-    /// Sets the number of bytes that may be read from now on.
-    pub fn reset(&self, bytes: usize) {
+    /// Sets the number of bytes that may be read from now on. Returns the charge of those that were
+    /// read before.
+    pub fn reset(&self, bytes: usize) -> Charge {
         self.remaining.set(bytes);
+        self.charge.replace(Charge::new(&self.memory))
     }
 
     /// Returns whether no more bytes may be read.
     pub fn is_exhausted(&self) -> bool {
-        self.remaining.get() == 0
+        self.remaining.get() == 0 || !self.charge.borrow().admits()
+    }
+
+    /// Records that bytes were read.
+    fn spend(&self, bytes: usize) {
+        self.remaining.set(self.remaining.get().saturating_sub(bytes));
+        self.charge.borrow_mut().add(bytes);
     }
 }
 
@@ -79,8 +92,7 @@
             result = read_arrived(&self.stream, buffer);
         }
         let read = buffer.filled().len() - before;
-        let remaining = self.allowance.remaining.get();
-        self.allowance.reset(remaining.saturating_sub(read));
+        self.allowance.spend(read);
         result
     }
 }
--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -10,6 +10,7 @@
 use tokio::net::TcpSocket;
 
 use super::{
+    Memory,
     limited::{Allowance, Examination, Limited},
     screen::{Filter, Screen},
 };
@@ -18,7 +19,8 @@
 /// a round trip takes a few milliseconds, and an overloaded server resets instead of waiting.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The most bytes of an answer that are read, with its head. A node holds tens of answers at a time.
+/// The most bytes of an answer that are read, with its head. What all answers of a node take together is
+/// bounded by [`Memory`].
 const MAX_ANSWER_BYTES: usize = 1_024 * 1_024;
 
 type Body = Full<Bytes>;
@@ -60,7 +62,9 @@
     #[snafu(display("connecting timed out"))]
     ConnectTimeout,
     /// The answer is too long, or has no end.
-    #[snafu(display("the answer is longer than {MAX_ANSWER_BYTES} bytes"))]
+    #[snafu(display(
+        "the answer is longer than {MAX_ANSWER_BYTES} bytes, or than the node has memory for"
+    ))]
     TooLong,
     /// The connection broke, or the data received over it is not HTTP.
     #[snafu(display("the exchange failed: {source}"))]
@@ -86,8 +90,8 @@
 }
 
 impl Link {
-    /// Opens a connection.
-    pub async fn open(address: SocketAddr, now: Time) -> Result<Link, LinkError> {
+    /// Opens a connection, whose answers count in `memory`.
+    pub async fn open(address: SocketAddr, memory: Memory, now: Time) -> Result<Link, LinkError> {
         let socket = match address {
             SocketAddr::V4(_) => TcpSocket::new_v4(),
             SocketAddr::V6(_) => TcpSocket::new_v6(),
@@ -97,7 +101,7 @@
         let Ok(stream) = connect.await else { return ConnectTimeoutSnafu.fail() };
         let stream = stream.context(ConnectSnafu)?;
         stream.set_nodelay(true).context(ConnectSnafu)?;
-        let allowance = Allowance::new(MAX_ANSWER_BYTES);
+        let allowance = Allowance::new(MAX_ANSWER_BYTES, memory);
         let (examination, filter) = (Examination::default(), Filter::default());
         let stream = Limited::new(stream, allowance.clone(), examination.clone());
         let stream = TokioIo::new(Screen::new(stream, filter.clone()));
@@ -127,17 +131,20 @@
     /// Sends a request and returns the answer with its complete body.
     pub async fn exchange(&mut self, request: Request<Body>) -> Result<Response<Bytes>, LinkError> {
         let Link { sender, driver, allowance, .. } = self;
-        allowance.reset(MAX_ANSWER_BYTES);
+        drop(allowance.reset(MAX_ANSWER_BYTES));
         let work = async {
             let (head, body) = sender.send_request(request).await?.into_parts();
             let body = body.collect().await?.to_bytes();
             Ok(Response::from_parts(head, body))
         };
         let result = drive(driver, work).await;
-        if result.is_err() && allowance.is_exhausted() {
-            return TooLongSnafu.fail();
+        let is_exhausted = allowance.is_exhausted();
+        let charge = allowance.reset(MAX_ANSWER_BYTES);
+        match result {
+            Ok(answer) => Ok(answer.map(|it| charge.bind(it))),
+            Err(_) if is_exhausted => TooLongSnafu.fail(),
+            Err(error) => Err(error).context(ExchangeSnafu),
         }
-        result.context(ExchangeSnafu)
     }
 
     /// Returns whether another request can be sent: the connection is open, and no data has
--- a/crates/direct/src/backend/mod.rs
+++ b/crates/direct/src/backend/mod.rs
@@ -6,6 +6,7 @@
 mod identity;
 mod limited;
 mod link;
+mod memory;
 mod notice;
 mod pool;
 mod reply;
@@ -17,6 +18,7 @@
     health::{Health, HealthError, ask_health},
     identity::Identity,
     link::{History, Link, LinkError},
+    memory::Memory,
     notice::Notice,
     pool::Pool,
     reply::Reply,
--- a/crates/direct/src/backend/pool.rs
+++ b/crates/direct/src/backend/pool.rs
@@ -1,9 +1,9 @@
-use std::{cell::RefCell, collections::HashMap, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, time::Duration};
 
 use http::HeaderValue;
 use mimosabridge::{balance::IDLE_TIMEOUT, name::Name, plan::Repeat, time::Time};
 
-use super::{Link, Outgoing};
+use super::{Link, LinkError, Memory, Outgoing};
 
 /// The longest idle time of a connection that may carry a request that must not be sent twice: a
 /// connection that has been idle for longer may be dead or about to be closed.
@@ -14,6 +14,7 @@
 #[derive(Default)]
 pub struct Pool {
     idle: RefCell<HashMap<Name, Vec<Link>>>,
+    memory: Memory,
 }
 
 impl Pool {
@@ -22,6 +23,16 @@
         Pool::default()
     }
 
+    /// Makes the answers over the connections count in a memory.
+    pub fn with_memory(self, memory: Memory) -> Pool {
+        Pool { memory, ..self }
+    }
+
+    /// Opens a connection. It is not in the pool until it is kept.
+    pub async fn open(&self, address: SocketAddr, now: Time) -> Result<Link, LinkError> {
+        Link::open(address, self.memory.clone(), now).await
+    }
+
     /// Takes the most recently used connection to a server that may carry a request. One whose last
     /// request had the same identity is closed: a late copy of that answer would look like the answer
     /// to this request.
--- a/crates/direct/src/front/evidence.rs
+++ b/crates/direct/src/front/evidence.rs
@@ -101,8 +101,8 @@
     if shared.is_resting(&server) {
         return shared.on_checked(&server.id);
     }
-    let Shared { clock, headers, .. } = &*shared;
-    let health = ask_health(*clock, &server, &plan, headers);
+    let Shared { pool, clock, headers, .. } = &*shared;
+    let health = ask_health(pool, *clock, &server, &plan, headers);
     match tokio::time::timeout(CHECK_TIMEOUT, health).await {
         Ok(Ok(Health { id: Some(id), notice })) if id == server.id => {
             shared.on_notice(&server, notice, "health check");
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -16,7 +16,7 @@
     respond::{self, Answer},
 };
 use crate::{
-    backend::{Identity, Link, LinkError, Outgoing},
+    backend::{Identity, LinkError, Outgoing},
     events,
     node::Shared,
     wire::{self, Headers},
@@ -105,7 +105,7 @@
     let pooled = shared.relay_pool.take(&helper.name, outgoing, shared.now()).await;
     let mut link = match pooled {
         Some(link) => link,
-        None => Link::open(helper.address, shared.now()).await?,
+        None => shared.relay_pool.open(helper.address, shared.now()).await?,
     };
     let mut request = Request::new(Full::new(outgoing.body.clone()));
     *request.method_mut() = outgoing.method.clone();
--- a/crates/direct/src/node/reach.rs
+++ b/crates/direct/src/node/reach.rs
@@ -59,7 +59,7 @@
     /// Returns whether a server answers a health check over a new connection.
     async fn is_answered_by(&self, server: &Arc<Entry>) -> bool {
         let Some(plan) = self.plan() else { return false };
-        let health = ask_health(self.clock, server, &plan, &self.headers);
+        let health = ask_health(&self.pool, self.clock, server, &plan, &self.headers);
         let Ok(Ok(health)) = tokio::time::timeout(CHECK_TIMEOUT, health).await else {
             return false;
         };
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -23,7 +23,12 @@
 use mimosabridge_node::clock::Clock;
 use tokio::sync::{Notify, watch};
 
-use crate::{backend::Pool, events, metrics::Metrics, wire::Headers};
+use crate::{
+    backend::{Memory, Pool},
+    events,
+    metrics::Metrics,
+    wire::Headers,
+};
 
 /// A pause of the process of this length makes its state outdated.
 pub const PAUSE_THRESHOLD: Duration = Duration::from_secs(1);
@@ -96,11 +101,12 @@
     /// Creates the state of a node without a configuration or servers.
     pub fn new(headers: Headers, settings: balance::Settings, seed: u64) -> Shared {
         let clock = Clock::new();
+        let memory = Memory::new();
         Shared {
             clock,
             headers,
-            pool: Pool::new(),
-            relay_pool: Pool::new(),
+            pool: Pool::new().with_memory(memory.clone()),
+            relay_pool: Pool::new().with_memory(memory),
             state: RefCell::new(State {
                 balancer: Balancer::new(settings, seed),
                 mirror: Mirror::new(),
--- a/crates/direct/tests/node/env/server.rs
+++ b/crates/direct/tests/node/env/server.rs
@@ -49,6 +49,8 @@
     Endless(&'static str, &'static str),
     /// It answers with this status, signed.
     Status(&'static str),
+    /// It begins an answer without an end, sends so many bytes of it, and then nothing.
+    Stalled(usize),
     /// It answers 503 without the header that says that the request has not run.
     Bare503,
 }
@@ -245,6 +247,18 @@
                 }
                 return std::future::pending().await;
             }
+            Behavior::Stalled(length) => {
+                let head = "HTTP/1.1 200 OK\r\nx-signature: s\r\n\r\n";
+                if stream
+                    .write_all((head.to_owned() + &"x".repeat(length)).as_bytes())
+                    .await
+                    .is_err()
+                {
+                    return;
+                }
+                let _ = stream.read(&mut [0; 16]).await;
+                return;
+            }
             Behavior::Hang => {
                 let mut rest = [0; 16];
                 if matches!(stream.read(&mut rest).await, Ok(0) | Err(_)) {
--- a/crates/direct/tests/node/stale_connections.rs
+++ b/crates/direct/tests/node/stale_connections.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Uri};
 use mimosabridge::{name::Name, plan::Repeat, time::Time};
-use mimosabridge_direct::backend::{Link, Outgoing, Pool};
+use mimosabridge_direct::backend::{Outgoing, Pool};
 use rstest::rstest;
 use socket2::SockRef;
 use tokio::net::TcpListener;
@@ -41,7 +41,7 @@
     run(async {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let address = listener.local_addr().expect("a bound socket has an address");
-        let link = Link::open(address, Time::ZERO).await.expect("the peer accepts");
+        let link = Pool::new().open(address, Time::ZERO).await.expect("the peer accepts");
         let (peer, _) = listener.accept().await.expect("the node connects");
         let mut peer = peer.into_std().expect("the socket is valid");
         let (pool, name) = (Pool::new(), Name::new("peer"));
