--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -15,7 +15,8 @@
     directory::{Change, Directory, Entry},
     name::Name,
     plan::{Plan, Rule, Share},
-    retry::{Allowance, Window},
+    recent::Recent,
+    retry::{Allowance, MAX_LATENCIES, Window},
     time::Time,
 };
 
@@ -42,7 +43,7 @@
     pub(super) servers: HashMap<Name, Server>,
     /// The names of the servers by their hashes, which reports carry.
     pub(super) keys: HashMap<u32, Name>,
-    baselines: HashMap<Name, Baseline>,
+    baselines: Recent<Baseline>,
     windows: HashMap<Name, Window>,
     splits: HashMap<Name, Vec<f64>>,
     /// How many requests wait for a connection to a server of each service.
@@ -66,7 +67,7 @@
             directory: Directory::new(),
             servers: HashMap::new(),
             keys: HashMap::new(),
-            baselines: HashMap::new(),
+            baselines: Recent::new(MAX_LATENCIES),
             windows: HashMap::new(),
             splits: HashMap::new(),
             waiting: HashMap::new(),
@@ -98,6 +99,16 @@
         self.nodes
     }
 
+    /// Drops what is known of rules and services that a new version of the configuration no longer has. What was
+    /// spent lately on a service still counts.
+    pub fn on_plan(&mut self, plan: &Plan, now: Time) {
+        let rules: HashSet<_> = plan.rules().collect();
+        self.baselines.retain(|it| rules.contains(it));
+        self.splits.retain(|it, _| rules.contains(it));
+        self.windows.retain(|it, window| plan.service(it).is_some() || !window.is_empty(now));
+        self.waiting.retain(|it, count| plan.service(it).is_some() || *count > 0);
+    }
+
     /// Records a change of the directory.
     pub fn on_change(&mut self, change: &Change, now: Time) {
         match change {
@@ -343,6 +354,6 @@
 
     fn baseline(&mut self, rule: &Rule) -> &mut Baseline {
         let new = || Baseline::new(rule.objective);
-        self.baselines.entry(rule.name.clone()).or_insert_with(new)
+        self.baselines.get_or_insert_with(&rule.name, new)
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod quarantine;
 pub mod query;
 pub mod reach;
+pub mod recent;
 pub mod retry;
 pub mod route;
 pub mod scatter;
--- a/crates/core/src/plan/plan.rs
+++ b/crates/core/src/plan/plan.rs
@@ -52,6 +52,11 @@
         rules.iter().find(|it| path.starts_with(it.prefix.as_str()))
     }
 
+    /// Returns the names of all rules.
+    pub fn rules(&self) -> impl Iterator<Item = &Name> {
+        self.hosts.values().flatten().map(|it| &it.name)
+    }
+
     /// Returns the settings of a service.
     pub fn service(&self, name: &Name) -> Option<&Service> {
         self.services.get(name)
--- a/crates/core/src/retry/latency.rs
+++ b/crates/core/src/retry/latency.rs
@@ -17,6 +17,9 @@
 /// The largest latency that is recorded, in microseconds. Longer ones count as this one.
 const MAX_MICROS: u64 = 60_000_000;
 
+/// The most rules whose latencies a node records: each takes some 20 KB.
+pub const MAX_LATENCIES: usize = 1_024;
+
 /// Records latencies in the current and the previous window.
 #[derive(Clone, Debug)]
 pub struct Latency {
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -6,6 +6,6 @@
 
 pub use self::{
     budget::Budget,
-    latency::Latency,
+    latency::{Latency, MAX_LATENCIES},
     window::{Allowance, Window},
 };
--- a/crates/core/src/retry/window.rs
+++ b/crates/core/src/retry/window.rs
@@ -86,6 +86,12 @@
         self.counts.iter().map(|it| it.extras).sum()
     }
 
+    /// Returns whether there was no request in the window.
+    pub fn is_empty(&mut self, now: Time) -> bool {
+        self.current(now);
+        self.counts.iter().all(|it| it.requests == 0 && it.extras == 0)
+    }
+
     /// Returns how many hedges the limit allows now.
     pub fn hedges_left(&mut self, allowance: &Allowance, now: Time) -> f64 {
         self.left(allowance, HEDGE_RESERVE, now)
--- a/crates/core/tests/direct/frequent_versions.rs
+++ b/crates/core/tests/direct/frequent_versions.rs
@@ -5,7 +5,7 @@
 use mimosabridge::{
     balance::Balancer,
     feed::{Event, Fact, Mirror, Position, Progress, Snapshot, Update},
-    plan::{Plan, Rule, Spec, Target},
+    plan::{Plan, Rule, Share, Spec, Target},
 };
 
 use crate::fixture::{at, rule, service, settings};
@@ -101,3 +101,61 @@
     assert!(rule.upgrade().is_none(), "a request needs its own rule only");
     assert_eq!(held.service(&"one".into()).map(|it| it.connections), Some(46));
 }
+
+/// Guards against state of rules and services that a configuration no longer has: versions that add and remove rules ended
+/// all nodes, as each rule that had had a request cost 23 KB for good.
+#[test]
+fn removed_rules_forgotten() {
+    let (mut mirror, mut balancer) = configured();
+    let mut sizes = Vec::new();
+    for version in 2..8 {
+        let names = ["one", &format!("service-{version}")].map(|it| service(it, 0.0));
+        let spec =
+            Spec { version, rules: rules(version, 50), services: names.into(), ..Spec::default() };
+        let facts = vec![Fact::Plan(spec)];
+        let position = on(9 + version);
+        let now = at(version * 60_000);
+        mirror.extend(on(8 + version), Snapshot { position, facts }, &mut balancer, now);
+        let plan = mirror.plan().expect("a version is in force").clone();
+        balancer.on_plan(&plan, now);
+        for number in 0..50 {
+            let path = format!("/r-{version}-{number}/x");
+            let rule = plan.find("search.example", &path).expect("the rule exists");
+            balancer.usual_latency(rule);
+            let share = Share { service: "one".into(), weight: 1.0 };
+            balancer.pick_service(&rule.name, &[share]);
+            balancer.on_request(&format!("service-{version}").as_str().into(), now);
+        }
+        sizes.push(format!("{balancer:?}").len());
+    }
+    assert!(sizes[5] < sizes[0] * 5 / 4, "the state has {sizes:?} characters");
+}
+
+/// Guards against latencies that are kept for each of thousands of rules.
+#[test]
+fn latencies_bounded() {
+    let (_, mut balancer) = configured();
+    let rules = rules(1, 4_000);
+    let size = |balancer: &mut Balancer, rules: &[Rule]| {
+        for rule in rules {
+            balancer.usual_latency(rule);
+        }
+        format!("{balancer:?}").len()
+    };
+    let few = size(&mut balancer, &rules[..1_024]);
+    let many = size(&mut balancer, &rules);
+    assert!(many < few * 5 / 4, "the state has grown from {few} to {many} characters");
+}
+
+/// Extra requests count although a version drops their service for a moment.
+#[test]
+fn spent_budget_remembered() {
+    let (_, mut balancer) = configured();
+    let name = "one".into();
+    let spend = |balancer: &mut Balancer, millis| {
+        (0..1_000).filter(|_| balancer.spend(&name, false, at(millis))).count()
+    };
+    assert!(spend(&mut balancer, 20_000) > 0);
+    balancer.on_plan(&Plan::new(Spec::default()), at(21_000));
+    assert_eq!(spend(&mut balancer, 22_000), 0);
+}
--- a/crates/direct/src/metrics.rs
+++ b/crates/direct/src/metrics.rs
@@ -6,6 +6,7 @@
 use mimosabridge_node::metrics::make::{self, counter, counters, gauge};
 use prometheus::{
     HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, core::Collector,
+    proto::LabelPair,
 };
 
 /// The upper bounds of the latency buckets, in seconds.
@@ -117,6 +118,26 @@
         self.crashes.with_label_values(&[source]).inc();
     }
 
+    /// Drops the series of rules and services that the configuration no longer has.
+    pub fn retain(&self, has_rule: impl Fn(&str) -> bool, has_service: impl Fn(&str) -> bool) {
+        for [rule, outcome] in labels(&self.answers, ["rule", "outcome"]) {
+            if !has_rule(&rule) {
+                // The series was just found.
+                let _ = self.answers.remove_label_values(&[&rule, &outcome]);
+            }
+        }
+        for [rule] in labels(&self.latency, ["rule"]) {
+            if !has_rule(&rule) {
+                let _ = self.latency.remove_label_values(&[&rule]);
+            }
+        }
+        for [service, end] in labels(&self.attempts, ["service", "end"]) {
+            if !has_service(&service) {
+                let _ = self.attempts.remove_label_values(&[&service, &end]);
+            }
+        }
+    }
+
     /// Returns the metrics in the text format of Prometheus.
     pub fn text(&self) -> String {
         make::text(&self.registry)
@@ -158,6 +179,17 @@
     }
 }
 
+/// Returns the values of some labels of each series of a metric.
+fn labels<const N: usize>(metric: &impl Collector, names: [&str; N]) -> Vec<[String; N]> {
+    let families = metric.collect();
+    let series = families.iter().flat_map(|it| it.get_metric());
+    let value = |pairs: &[LabelPair], name| {
+        let pair = pairs.iter().find(|it| it.name() == name);
+        pair.map_or_else(String::new, |it| it.value().to_owned())
+    };
+    series.map(|it| names.map(|name| value(it.get_label(), name))).collect()
+}
+
 /// Returns the label of the end of an attempt in metrics and logs.
 pub fn label(end: End) -> &'static str {
     match end {
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -1,6 +1,6 @@
 use std::{
     cell::{Cell, RefCell},
-    collections::BTreeSet,
+    collections::{BTreeSet, HashSet},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -14,6 +14,7 @@
     feed::{Event, Mirror, Position},
     fingerprint::Fingerprint,
     member::Unknown,
+    name::Name,
     plan::Plan,
     quarantine::{Detector, List, Sign},
     reach::{Latencies, Reach, Status},
@@ -209,6 +210,17 @@
         update(&mut state.mirror, &mut state.balancer, now)
     }
 
+    /// Drops what is known of rules and services that the configuration in force no longer has.
+    fn drop_old_rules(&self) {
+        let Some(plan) = self.plan() else { return };
+        let rules: HashSet<_> = plan.rules().map(Name::as_str).collect();
+        let state = &mut *self.state.borrow_mut();
+        state.balancer.on_plan(&plan, self.now());
+        state.relayed.retain(|it| rules.contains(it.as_str()));
+        let has_service = |it: &str| plan.service(&Name::new(it)).is_some();
+        self.metrics.retain(|it| rules.contains(it), has_service);
+    }
+
     /// Logs changes of the mirror with their source, and updates the metrics and the readiness.
     pub fn on_changes(&self, changes: &[Event], source: &str) {
         if changes.is_empty() {
@@ -224,6 +236,7 @@
             match item {
                 Event::Plan(version) => {
                     self.metrics.plan_version.set(*version as i64);
+                    self.drop_old_rules();
                     emit(&events::PLAN, "version", version);
                 }
                 Event::Server(change) => {
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -15,6 +15,7 @@
 mod last_answers;
 mod later_builds;
 mod leaving_servers;
+mod old_rules;
 mod packed_updates;
 mod passed_over_copies;
 mod relayed_closes;
