Weigh a lost attempt before the hold of its content ends

Cause, from the log of a play: after the loss of power the content ends one server at 39.82 s. All nodes learn it within 3 ms and hold the content for 0.6 s. The node that lost the attempt weighs it 0.647 s after the loss, as lost attempts are weighed by a tick of 0.25 s, and the quarantine reaches the others 24 ms later. At 40.44 to 40.46 s three of them have run the content again.

Ruled out: that evidence is dropped or split: all nodes had the same evidence (83 of 105 tenths of a bit), and the sum that the examining node came to (106) was enough. That the loss of power takes away what is known: it does, but the fault is in the seconds after it.

Change: a lost attempt is weighed when it is due, not by the tick, and 0.5 s after the loss; the content is held for 0.6 s as before, so that the result has 0.1 s to arrive. The check of the server ends 0.45 s after the loss. A quarantine is sent at once.

--- a/crates/core/src/quarantine/content.rs
+++ b/crates/core/src/quarantine/content.rs
@@ -6,6 +6,10 @@
 /// The number of proven crashes after which a content is quarantined, if they are independent.
 pub const CRASH_THRESHOLD: usize = 2;
 
+/// How long after a loss its content is not run. Longer than it takes to weigh the loss, so that the
+/// result reaches the other nodes before they run the content again.
+const HOLD_TIME: Duration = Duration::from_millis(600);
+
 /// How long a crash counts.
 pub(super) const TTL: Duration = Duration::from_secs(300);
 
@@ -128,7 +132,7 @@
     /// Returns until when the latest crash is so recent that it is still being examined.
     pub fn examined_until(&self, now: Time) -> Option<Time> {
         let age = self.counted(now).map(|it| it.age(now)).min()?;
-        (age < WEIGH_AFTER).then(|| now + (WEIGH_AFTER - age))
+        (age < HOLD_TIME).then(|| now + (HOLD_TIME - age))
     }
 
     /// Returns until when the crashes that count now are enough for a quarantine, if they are.
--- a/crates/core/src/quarantine/detector.rs
+++ b/crates/core/src/quarantine/detector.rs
@@ -12,7 +12,7 @@
 
 /// After this time a lost attempt is weighed: a check of its server has ended by then, and this node
 /// knows whether it loses others, too.
-pub const WEIGH_AFTER: Duration = Duration::from_millis(600);
+pub const WEIGH_AFTER: Duration = Duration::from_millis(500);
 
 /// The maximum number of lost attempts that are kept.
 const CAPACITY: usize = 1_000;
@@ -164,6 +164,12 @@
         }
     }
 
+    /// Returns when the next lost attempt is to be weighed for the first time, if there is any.
+    pub fn next_weighing(&self) -> Option<Time> {
+        let pending = self.lost.values().flatten().filter(|it| it.base.is_none());
+        pending.map(|it| it.at + WEIGH_AFTER).min()
+    }
+
     /// Weighs the attempts that were lost long enough ago, and again those of which more is known.
     /// Returns what is new. `is_leaving` names servers that end as planned.
     pub fn weigh(
--- a/crates/direct/src/front/evidence.rs
+++ b/crates/direct/src/front/evidence.rs
@@ -18,7 +18,7 @@
 const CHECK_DELAY: Duration = Duration::from_millis(100);
 
 /// How long a check may take. It must end before the lost attempt is weighed.
-const CHECK_TIMEOUT: Duration = Duration::from_millis(400);
+const CHECK_TIMEOUT: Duration = Duration::from_millis(350);
 
 /// The time from which an attempt that is given up counts as lost: the caller may have left because
 /// there was no answer.
@@ -88,7 +88,9 @@
     loss: Loss,
 ) {
     let server = &attempt.server;
-    if shared.on_lost(fingerprint, server, loss, attempt.sent) {
+    let must_check = shared.on_lost(fingerprint, server, loss, attempt.sent);
+    shared.weigh_in_time();
+    if must_check {
         tokio::task::spawn_local(check(shared.clone(), server.clone(), plan.clone()));
     }
 }
--- a/crates/direct/src/node/crashes.rs
+++ b/crates/direct/src/node/crashes.rs
@@ -1,4 +1,4 @@
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
 use mimosabridge::{
     directory::Entry,
@@ -122,6 +122,23 @@
             || state.quarantine.is_suspect(fingerprint, self.now())
     }
 
+    /// Weighs each lost attempt as soon as it is due: other nodes wait for the result, and not for
+    /// long.
+    pub fn weigh_in_time(self: &Rc<Shared>) {
+        if self.is_weighing.replace(true) {
+            return;
+        }
+        let shared = self.clone();
+        tokio::task::spawn_local(async move {
+            let next = || shared.state.borrow().crash_detector.next_weighing();
+            while let Some(due) = next() {
+                tokio::time::sleep_until(shared.clock.instant(due)).await;
+                shared.update_evidence(shared.now().max(due));
+            }
+            shared.is_weighing.set(false);
+        });
+    }
+
     /// Weighs lost attempts, and drops what no longer counts.
     pub fn update_evidence(&self, now: Time) {
         let (crashes, dropped) = {
@@ -161,6 +178,7 @@
         self.emit_crash(effect, fingerprint, &crash, "own attempt");
         if effect == Effect::Quarantined {
             self.on_quarantined(fingerprint, "own attempt");
+            self.urgent_news.notify_one();
         }
     }
 
--- a/crates/direct/src/node/shared.rs
+++ b/crates/direct/src/node/shared.rs
@@ -64,6 +64,8 @@
     answers_due: watch::Sender<Option<Time>>,
     /// Whether the process ends, whatever is under way.
     is_ended: Cell<bool>,
+    /// Whether lost attempts are being weighed as they are due.
+    pub(super) is_weighing: Cell<bool>,
 }
 
 /// What a node knows of the fleet, and its requests in progress.
@@ -126,6 +128,7 @@
             urgent_news: Notify::new(),
             answers_due: watch::Sender::new(None),
             is_ended: Cell::new(false),
+            is_weighing: Cell::new(false),
         }
     }
 
