--- a/crates/core/src/feed/doubt.rs
+++ b/crates/core/src/feed/doubt.rs
@@ -1,4 +1,4 @@
-//! Removals that may be lapses: what a node asks others before it uses a server on.
+//! Which removals may be lapses, and which nodes to ask before such a server is kept in use.
 
 use std::{collections::HashSet, net::SocketAddr};
 
@@ -22,7 +22,7 @@
 
 /// Returns whether a list that this node has read lacks an entry that may have lapsed.
 pub fn has_doubtful_gap(directory: &Directory, list: &Snapshot, now: Time) -> bool {
-    let server = |it: &'_ Fact| match it {
+    let server = |it: &Fact| match it {
         Fact::Server(entry) => Some(entry.id.clone()),
         _ => None,
     };
--- a/crates/core/src/memory/budget.rs
+++ b/crates/core/src/memory/budget.rs
@@ -1,8 +1,7 @@
 /// The bytes that each answer may take whatever the others take: more than most answers have.
 const FREE_BYTES: usize = 16 * 1_024;
 
-/// The bytes that all answers may take beyond that. With the free bytes of some hundred answers and buffers, it leaves
-/// half of the memory of the smallest VM (160 MB).
+/// The bytes that all answers may take beyond that.
 const MAX_BYTES: usize = 16 * 1_024 * 1_024;
 
 /// The memory that the answers of a node share.
--- a/crates/core/src/quarantine/list.rs
+++ b/crates/core/src/quarantine/list.rs
@@ -136,9 +136,9 @@
         content.examined_until(now).filter(|_| is_held)
     }
 
-    /// Returns whether evidence that was just received must be passed on at once: a loss that is not weighed yet, whose
-    /// content is held. The result of the weighing is sent to all nodes by the one that weighs it; if each passed it
-    /// on, the packets would grow with the square of the nodes.
+    /// Returns whether evidence that was just received must be passed on at once: a loss that is not
+    /// weighed yet and whose content is held. The node that weighs it sends the result to all others; if
+    /// each of them passed that on, the number of packets would grow with the square of the nodes.
     pub fn is_urgent(&self, fingerprint: Fingerprint, evidence: &Evidence, now: Time) -> bool {
         let Evidence::Crash(crash) = evidence else { return false };
         crash.age < WEIGH_AFTER && self.examined_until(fingerprint, now).is_some()
--- a/crates/core/src/recent/recent.rs
+++ b/crates/core/src/recent/recent.rs
@@ -24,7 +24,7 @@
         Recent { values: HashMap::new(), capacity: capacity.max(1), uses: 0 }
     }
 
-    /// Returns the value of a name. That is no use.
+    /// Returns the value of a name. This does not count as a use.
     pub fn get(&self, name: &Name) -> Option<&T> {
         self.values.get(name).map(|it| &it.value)
     }
