--- a/review/common-3/lab.py
+++ b/review/common-3/lab.py
@@ -126,7 +126,7 @@
 class Node:
     """A machine of the system: the real program with its settings file."""
 
-    def __init__(self, lab, name, zone, store, seeds=(), bounds=None):
+    def __init__(self, lab, name, zone, store, seeds=(), bounds=None, memory_mb=260):
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/release/mimosabridge-vm is missing; build it first")
         self.lab, self.name, self.zone, self.ip = lab, name, zone, lab.address()
@@ -142,7 +142,7 @@
             },
             "portRange": list(PEERS), "seedAddrs": [f"{it.ip}:{CONTROL}" for it in seeds],
             "bootstrap": True, "countsAsLoss": False,
-            "limits": {"cpuShare": 0.25, "cpuCores": 1, "memoryMb": 260, "maxFds": 4100,
+            "limits": {"cpuShare": 0.25, "cpuCores": 1, "memoryMb": memory_mb, "maxFds": 4100,
                        "linkMbps": 1000.0, "diskMb": 0},
             "dataDir": None, "discoverySource": "platform", "entryKind": "vip", "heartbeatMs": 1200,
             "contracts": ["base", "drain", "config", "cost", "retry", "recover", "scatter",
@@ -196,6 +196,34 @@
                 pass
 
 
+def owner(lab, writer):
+    """Returns the node whose process has the other end of a connection."""
+    def form(address):
+        return f"{int.from_bytes(socket.inet_aton(address[0]), sys.byteorder):08X}:{address[1]:04X}"
+
+    ends = [form(writer.get_extra_info("peername")), form(writer.get_extra_info("sockname"))]
+    inode = None
+    with open("/proc/net/tcp", encoding="ascii") as file:
+        for line in file:
+            fields = line.split()
+            if fields[1:3] == ends:
+                inode = fields[9]
+                break
+    if inode is None:
+        return None
+    for node in lab.nodes:
+        if node.process is None or node.process.returncode is not None:
+            continue
+        folder = f"/proc/{node.process.pid}/fd"
+        for name in os.listdir(folder):
+            try:
+                if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
+                    return node
+            except OSError:
+                continue
+    return None
+
+
 async def read_message(reader):
     """Reads the head and the body of a request or a response. Returns None at the end."""
     try:
@@ -355,6 +383,8 @@
         self.runs = []
         self.on_arrival = None
         self.health_path = "/health"
+        # Nodes that are cut off from this searcher: their connections hang.
+        self.cut = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, self.ip, self.port)
@@ -398,9 +428,13 @@
     async def _serve(self, reader, writer):
         self.connections.add(writer)
         server = self.server
+        node = owner(self.lab, writer)
+        name = node.name if node else None
         try:
             while True:
                 message = await read_message(reader)
+                while name in self.cut:
+                    await asyncio.sleep(0.05)
                 if message is None:
                     return
                 answer = await self._answer(message, reader)
@@ -459,6 +493,8 @@
         self.sent = {}
         self.answers = {}
         self.idle = {}
+        # The requests that were sent on a connection which had carried others.
+        self.kept = set()
 
     def name(self):
         self.count += 1
@@ -470,6 +506,8 @@
         idle = self.idle.setdefault(node.name, [])
         while idle and (idle[-1][1].is_closing() or idle[-1][0].at_eof()):
             idle.pop()[1].close()
+        if idle:
+            self.kept.add(request)
         try:
             connection = idle.pop() if idle else await asyncio.wait_for(
                 asyncio.open_connection(node.ip, FRONT), 1)
