--- a/review/common-3/lab.py
+++ b/review/common-3/lab.py
@@ -44,6 +44,7 @@
         self.lines = []
         self.nodes = []
         self.tasks = []
+        self.owners = Owners(self)
         self.block = self._free_block()
         self.last = 0
 
@@ -196,32 +197,49 @@
                 pass
 
 
-def owner(lab, writer):
-    """Returns the node whose process has the other end of a connection."""
-    def form(address):
-        return f"{int.from_bytes(socket.inet_aton(address[0]), sys.byteorder):08X}:{address[1]:04X}"
-
-    ends = [form(writer.get_extra_info("peername")), form(writer.get_extra_info("sockname"))]
-    inode = None
-    with open("/proc/net/tcp", encoding="ascii") as file:
-        for line in file:
-            fields = line.split()
-            if fields[1:3] == ends:
-                inode = fields[9]
-                break
-    if inode is None:
+class Owners:
+    """Tells which node has the other end of a connection."""
+
+    INTERVAL_S = 0.05
+
+    def __init__(self, lab):
+        self.lab, self.at, self.table = lab, 0.0, {}
+
+    async def find(self, writer):
+        """Returns the name of the node, or None if the connection is gone."""
+        def form(address):
+            return f"{int.from_bytes(socket.inet_aton(address[0]), sys.byteorder):08X}:{address[1]:04X}"
+
+        ends = (form(writer.get_extra_info("peername")), form(writer.get_extra_info("sockname")))
+        for _ in range(4):
+            if ends in self.table:
+                return self.table[ends]
+            if time.monotonic() - self.at >= self.INTERVAL_S:
+                self._read()
+            else:
+                await asyncio.sleep(self.INTERVAL_S)
         return None
-    for node in lab.nodes:
-        if node.process is None or node.process.returncode is not None:
-            continue
-        folder = f"/proc/{node.process.pid}/fd"
-        for name in os.listdir(folder):
-            try:
-                if os.readlink(f"{folder}/{name}") == f"socket:[{inode}]":
-                    return node
-            except OSError:
+
+    def _read(self):
+        inodes = {}
+        for node in self.lab.nodes:
+            if node.process is None or node.process.returncode is not None:
                 continue
-    return None
+            folder = f"/proc/{node.process.pid}/fd"
+            for name in os.listdir(folder):
+                try:
+                    target = os.readlink(f"{folder}/{name}")
+                except OSError:
+                    continue
+                if target.startswith("socket:["):
+                    inodes[target[8:-1]] = node.name
+        self.table = {}
+        with open("/proc/net/tcp", encoding="ascii") as file:
+            for line in file:
+                fields = line.split()
+                if fields[3] == "01" and fields[9] in inodes:
+                    self.table[fields[1], fields[2]] = inodes[fields[9]]
+        self.at = time.monotonic()
 
 
 async def read_message(reader):
@@ -428,11 +446,12 @@
     async def _serve(self, reader, writer):
         self.connections.add(writer)
         server = self.server
-        node = owner(self.lab, writer)
-        name = node.name if node else None
+        name = None
         try:
             while True:
                 message = await read_message(reader)
+                if self.cut and name is None:
+                    name = await self.lab.owners.find(writer)
                 while name in self.cut:
                     await asyncio.sleep(0.05)
                 if message is None:
