Order the entries of a server by its start and the number of the write

Cause: entries were ordered by their arrival. A write that the store applied seconds late, of an earlier start or from before the stop, replaced the entry of the running process, and with it what that process had said of itself. Only the restore of a store compared starts; nothing read the number of the write.

Ruled out: a forgotten rest (it held again after the next write), an old copy of the store (the revision rose).

Change: Directory::set compares an entry with the known or the removed one, for watch, list, peer and restore alike, and holds an older one back for four write intervals, after which it counts: a server whose clock is behind its last start is still used. An entry without a start or a usable number counts at once, and so does the stop of a process. Full updates of peers carry the entries that are held back. The comparison in the restore is gone, as it is the same one.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -122,6 +122,8 @@
                 self.keys.remove(&id.key());
                 self.notices.on_removed(id);
             }
+            // The entry may be that of a new start.
+            Change::Held { id, .. } => self.set_cold(id, self.directory.held_cold(id), now),
             Change::Draining(_) | Change::Lapsed(_) | Change::Returned(_) => {}
         }
     }
@@ -139,9 +141,13 @@
 
     /// Makes a server count as cold for as long as its directory entry says.
     pub fn on_cold(&mut self, id: &Name, now: Time) {
-        let Some(cold) = self.directory.get(id).map(|it| it.cold) else { return };
-        if !cold.is_zero() {
-            self.servers.entry(id.clone()).or_default().set_cold(cold, now);
+        self.set_cold(id, self.directory.get(id).map(|it| it.cold), now);
+    }
+
+    fn set_cold(&mut self, id: &Name, cold: Option<Duration>, now: Time) {
+        let Some(cold) = cold.filter(|it| !it.is_zero()) else { return };
+        if let Some(server) = self.servers.get_mut(id) {
+            server.set_cold(cold, now);
         }
     }
 
--- a/crates/core/src/directory/change.rs
+++ b/crates/core/src/directory/change.rs
@@ -1,3 +1,4 @@
+use super::Edition;
 use crate::name::Name;
 
 /// A change of the entry of a backend server.
@@ -13,6 +14,15 @@
     Lapsed(Name),
     /// The lapsed entry of a server reappeared.
     Returned(Name),
+    /// An entry that a server wrote before the known one is held back.
+    Held {
+        /// The server.
+        id: Name,
+        /// The edition of the entry.
+        edition: Edition,
+        /// The edition of the known entry, or of the removed one.
+        known: Edition,
+    },
     /// A server was removed.
     Removed(Name),
 }
--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -1,9 +1,10 @@
 use std::{
     collections::{HashMap, HashSet},
     sync::Arc,
+    time::Duration,
 };
 
-use super::{Change, Entry, Uptime, removed::Removed, uptime::Record};
+use super::{Change, Edition, Entry, Uptime, held::Held, removed::Removed, uptime::Record};
 use crate::{name::Name, time::Time};
 
 /// The entries of all known backend servers, indexed by identity and by service.
@@ -14,6 +15,7 @@
     /// Servers whose entries lapsed and may still reappear.
     lapsed: HashSet<Name>,
     removed: Removed,
+    held: Held,
     /// Since when this node, and the one that it follows, can't read the store.
     failing_since: Option<Time>,
     /// When the store was available, to this node or others.
@@ -47,6 +49,17 @@
         self.lapsed.iter()
     }
 
+    /// Returns the entries that were written before the known ones of their servers, and are held back.
+    pub fn held(&self) -> impl Iterator<Item = &Entry> {
+        self.held.iter()
+    }
+
+    /// Returns for how long a server would stay cold by an entry that is held back.
+    pub fn held_cold(&self, id: &Name) -> Option<Duration> {
+        let known = self.entries.get(id).map(|it| it.born);
+        self.held.get(id).filter(|it| Some(it.born) != known).map(|it| it.cold)
+    }
+
     /// Returns the servers that must not be used, whatever an older copy of the store says: those
     /// that have announced their stop, and those whose entries were removed. Each comes with its
     /// start.
@@ -132,8 +145,24 @@
         self.apply_list(entries, Directory::remove)
     }
 
-    /// Inserts or updates an entry. Returns the change, if there is any.
+    /// Inserts or updates an entry. One that its server wrote before the known one is held back. Returns the
+    /// change, if there is any.
     pub fn set(&mut self, entry: Entry) -> Option<Change> {
+        let known = self.entries.get(&entry.id).map(|it| it.edition());
+        let known = known.or_else(|| self.removed.get(&entry.id));
+        let edition = entry.edition();
+        // A process that stops does not become ready again.
+        let is_older =
+            |it: &Edition| edition.is_before(it) && !(entry.is_draining && it.born == entry.born);
+        if let Some(known) = known.filter(is_older) {
+            let id = entry.id.clone();
+            return self.held.insert(entry).then_some(Change::Held { id, edition, known });
+        }
+        self.held.remove(&entry.id);
+        self.insert(entry)
+    }
+
+    fn insert(&mut self, entry: Entry) -> Option<Change> {
         let id = entry.id.clone();
         let was_lapsed = self.lapsed.remove(&id);
         self.removed.remove(&id);
@@ -176,6 +205,7 @@
 
     /// Marks an entry as lapsed. Its server is kept until the entry has had time to reappear.
     pub fn lapse(&mut self, id: &Name, now: Time) -> Option<Change> {
+        self.held.remove(id);
         if !self.entries.contains_key(id) {
             return None;
         }
@@ -188,11 +218,23 @@
 
     /// Removes a server that is known to be gone.
     pub fn remove(&mut self, id: &Name) -> Option<Change> {
+        self.held.remove(id);
         self.entries.contains_key(id).then(|| self.discard(id.clone()))
     }
 
-    /// Removes the lapsed servers whose entries did not reappear in time.
+    /// Removes the lapsed servers whose entries did not reappear in time, and uses the entries that were held back
+    /// and still stand. Returns the changes.
     pub fn tick(&mut self, now: Time) -> Vec<Change> {
+        let mut changes = self.remove_lapsed(now);
+        if self.is_store_unavailable() {
+            self.held.restart();
+        }
+        let due = self.held.take_due(now);
+        changes.extend(due.into_iter().filter_map(|it| self.insert(it)));
+        changes
+    }
+
+    fn remove_lapsed(&mut self, now: Time) -> Vec<Change> {
         if self.lapsed.is_empty() || !self.is_settled(now) {
             return Vec::new();
         }
@@ -208,6 +250,7 @@
         let listed: HashSet<_> = entries.iter().map(|it| &it.id).collect();
         let missing = self.entries.keys().filter(|it| !listed.contains(it));
         let missing: Vec<_> = missing.cloned().collect();
+        self.held.retain(|it| listed.contains(it));
         let mut changes: Vec<_> = missing.iter().filter_map(|it| on_missing(self, it)).collect();
         changes.extend(entries.into_iter().filter_map(|it| self.set(it)));
         changes
@@ -221,7 +264,7 @@
     fn discard(&mut self, id: Name) -> Change {
         self.lapsed.remove(&id);
         if let Some(entry) = self.entries.remove(&id) {
-            self.removed.insert(id.clone(), entry.born);
+            self.removed.insert(id.clone(), entry.edition());
             self.remove_from_service(&entry.service, &id);
         }
         Change::Removed(id)
--- a/crates/core/src/directory/entry.rs
+++ b/crates/core/src/directory/entry.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Edition;
 use crate::name::Name;
 
 /// The longest time for which a server may say that it stays cold.
@@ -27,6 +28,9 @@
     /// When the server started, in milliseconds of its own clock. Distinguishes a restarted server
     /// from its predecessor.
     pub born: u64,
+    /// How many entries the server had written since its start when it wrote this one. `None` if it does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sequence: Option<u64>,
 }
 
 impl Entry {
@@ -37,6 +41,11 @@
             && (&self.id, &self.service) == (&other.id, &other.service)
     }
 
+    /// Returns which write of which start of the server this entry is.
+    pub fn edition(&self) -> Edition {
+        Edition { born: self.born, sequence: self.sequence }
+    }
+
     /// Returns why no request can be sent to the server that this entry names, or `None` if one can.
     pub fn finding(&self) -> Option<String> {
         let Entry { id, address, cold, .. } = self;
--- /dev/null
+++ b/crates/core/src/directory/held.rs
@@ -0,0 +1,69 @@
+use std::{collections::HashMap, time::Duration};
+
+use super::Entry;
+use crate::{name::Name, time::Time};
+
+/// How long an older entry must stand before it counts: four intervals in which servers write. A server that runs
+/// replaces an older entry of itself within one, and an entry that nobody writes is removed after three.
+const HOLD_TIME: Duration = Duration::from_millis(4_800);
+
+/// Entries that were written before the known ones of their servers.
+///
+/// The store may apply a write seconds late. Only time tells it from the write of a server whose clock is behind its
+/// last start.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Held {
+    entries: HashMap<Name, Item>,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    entry: Entry,
+    /// When the time began to count.
+    since: Option<Time>,
+}
+
+impl Held {
+    /// Holds an entry back. A further write of the same start doesn't begin the time anew. Returns whether the start
+    /// is new.
+    pub fn insert(&mut self, entry: Entry) -> bool {
+        match self.entries.get_mut(&entry.id) {
+            Some(item) if item.entry.born == entry.born => {
+                item.entry = entry;
+                false
+            }
+            _ => self.entries.insert(entry.id.clone(), Item { entry, since: None }).is_none(),
+        }
+    }
+
+    /// Returns the entry of a server, if one is held back.
+    pub fn get(&self, id: &Name) -> Option<&Entry> {
+        self.entries.get(id).map(|it| &it.entry)
+    }
+
+    /// Returns all entries.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values().map(|it| &it.entry)
+    }
+
+    /// Drops the entry of a server.
+    pub fn remove(&mut self, id: &Name) {
+        self.entries.remove(id);
+    }
+
+    /// Drops the entries of all servers that are not listed.
+    pub fn retain(&mut self, is_listed: impl Fn(&Name) -> bool) {
+        self.entries.retain(|id, _| is_listed(id));
+    }
+
+    /// Begins the time of all entries anew, because later writes could not be seen.
+    pub fn restart(&mut self) {
+        self.entries.values_mut().for_each(|it| it.since = None);
+    }
+
+    /// Takes the entries that have stood for the time.
+    pub fn take_due(&mut self, now: Time) -> Vec<Entry> {
+        let is_due = |_: &Name, it: &mut Item| now.since(*it.since.get_or_insert(now)) >= HOLD_TIME;
+        self.entries.extract_if(is_due).map(|it| it.1.entry).collect()
+    }
+}
--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -82,13 +82,14 @@
     }
 
     /// Returns all known facts, for a peer. What the store does not state is left out, except for
-    /// the configuration.
+    /// the configuration. An entry that is held back follows the known one of its server.
     pub fn snapshot(&self, balancer: &Balancer) -> Snapshot {
         let plan = self.spec.iter().cloned().map(Fact::Plan);
         let closed = self.closed.iter().cloned().map(Fact::Closed);
         let servers = balancer.directory().entries().map(|it| Fact::Server((**it).clone()));
+        let held = balancer.directory().held().cloned().map(Fact::Server);
         let lapsed = balancer.directory().lapsed().cloned().map(Fact::Lapsed);
-        let facts = plan.chain(closed).chain(servers).chain(lapsed).collect();
+        let facts = plan.chain(closed).chain(servers).chain(held).chain(lapsed).collect();
         Snapshot { position: self.position, facts }
     }
 
@@ -201,7 +202,7 @@
             return events;
         }
         if position.era > self.position.era && !is_first {
-            events.extend(self.restore(position.era, &closed, &mut entries, balancer, now));
+            events.extend(self.restore(position.era, &closed, &entries, balancer, now));
         }
         self.position = position;
         self.log.clear();
--- a/crates/core/src/feed/restore.rs
+++ b/crates/core/src/feed/restore.rs
@@ -2,7 +2,7 @@
 //!
 //! The copy lacks what was acknowledged after it was made. Until its authors have written that
 //! again, what it says is older than what nodes know. A configuration counts by its version, a
-//! server by its start, and what forbids requests is kept for a while: breaking it would be worse
+//! server by what it wrote last, and what forbids requests is kept for a while: breaking it would be worse
 //! than a server too few.
 
 use std::{collections::BTreeSet, time::Duration};
@@ -12,12 +12,12 @@
 
 impl Mirror {
     /// Prepares the mirror for the list of a store that has begun an era: keeps the restrictions
-    /// that the list lacks, and replaces entries of earlier starts of servers.
+    /// that the list lacks.
     pub(super) fn restore(
         &mut self,
         era: u64,
         closed: &BTreeSet<Name>,
-        entries: &mut [Entry],
+        entries: &[Entry],
         balancer: &mut Balancer,
         now: Time,
     ) -> Vec<Event> {
@@ -27,9 +27,6 @@
         let mut retired = self.restrictions.retired();
         retired.extend(directory.retired().map(|(id, born)| (id.clone(), born)));
         for entry in entries {
-            if let Some(known) = directory.get(&entry.id).filter(|it| it.born > entry.born) {
-                *entry = (**known).clone();
-            }
             if !entry.is_draining && retired.get(&entry.id) == Some(&entry.born) {
                 kept.push(Restriction::Retired { server: entry.id.clone(), born: entry.born });
             }
--- a/crates/core/tests/direct/fixture.rs
+++ b/crates/core/tests/direct/fixture.rs
@@ -29,6 +29,7 @@
         is_draining: false,
         cold: Duration::ZERO,
         born: 1,
+        sequence: None,
     }
 }
 
--- a/crates/core/tests/direct/main.rs
+++ b/crates/core/tests/direct/main.rs
@@ -24,6 +24,7 @@
 mod hung_readers;
 mod lapsed_entries;
 mod late_news;
+mod late_writes;
 mod later_updates;
 mod leaving_servers;
 mod load_patterns;
--- a/crates/direct/tests/node/cut_answers.rs
+++ b/crates/direct/tests/node/cut_answers.rs
@@ -38,6 +38,7 @@
         is_draining: false,
         cold: Duration::ZERO,
         born: 1,
+        sequence: None,
     };
     let clock = Clock::new();
     let budget = Duration::from_secs(10);
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -219,6 +219,7 @@
         is_draining: false,
         cold: Duration::ZERO,
         born: 1,
+        sequence: None,
     }
 }
 
