Copy the bytes of a body instead of keeping its frames

Cause: the body of an answer was collected as a list of frames. A frame of one byte keeps the buffer of some 4 KB that it was read into, while 6 bytes were counted.

Ruled out: too many answers at a time (each is bounded) and bytes that are read without being counted (the count is made at the socket).

Change: wire::collect copies each frame into one buffer. The bodies of callers' requests are read in the same way; their limit is in bytes, so that short chunks filled the memory there, too.

--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use mimosabridge::{quarantine::Sign, time::Time};
@@ -14,6 +14,7 @@
     limited::{Allowance, Examination, Limited},
     screen::{Filter, Screen},
 };
+use crate::wire::collect;
 
 /// How long a connection may take to open. A server that does not answer by then is unreachable:
 /// a round trip takes a few milliseconds, and an overloaded server resets instead of waiting.
@@ -134,7 +135,7 @@
         drop(allowance.reset(MAX_ANSWER_BYTES));
         let work = async {
             let (head, body) = sender.send_request(request).await?.into_parts();
-            let body = body.collect().await?.to_bytes();
+            let body = collect(body).await?;
             Ok(Response::from_parts(head, body))
         };
         let result = drive(driver, work).await;
--- a/crates/direct/src/front/incoming.rs
+++ b/crates/direct/src/front/incoming.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http::{StatusCode, header, request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::{LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use mimosabridge::{
     fingerprint::Fingerprint,
@@ -82,8 +82,9 @@
     if body.size_hint().lower() > max_bytes as u64 {
         return Err(TOO_LARGE);
     }
-    match tokio::time::timeout(BODY_TIMEOUT, Limited::new(body, max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
+    let read = wire::collect(Limited::new(body, max_bytes));
+    match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(body)) => Ok(body),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(TOO_LARGE),
         Ok(Err(_)) => Err((StatusCode::BAD_REQUEST, "the body can't be read")),
         Err(_) => Err((StatusCode::REQUEST_TIMEOUT, "the body took too long")),
--- a/crates/direct/src/wire/mod.rs
+++ b/crates/direct/src/wire/mod.rs
@@ -2,12 +2,14 @@
 //! connections.
 
 mod arrived;
+mod body;
 mod headers;
 mod hops;
 mod status;
 
 pub use self::{
     arrived::read_arrived,
+    body::collect,
     headers::Headers,
     hops::{closes, strip},
     status::is_final,
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -21,6 +21,7 @@
 mod relayed_closes;
 mod resting_servers;
 mod served_requests;
+mod short_frames;
 mod stale_connections;
 mod stranded_nodes;
 mod turned_away_reader;
