Keep one record for each process of a server

Cause: the limit, the coldness in force, the requests of the last second and those under way were kept with the entry, the leaving and the rest of a server by process in another place. An entry that was overwritten for one interval took the first kind away.

Ruled out: the end of a limit by the word of another node (none was logged).

Change: balance/servers.rs holds one record for each process instance; it takes the place of the notices. The record outlasts the entry, and an older entry in its place. The ends of requests are recorded without an entry, too.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -9,7 +9,7 @@
 use super::{
     Baseline, Observation, Purpose, Sample, Server, Settings,
     cost::{admits, cost},
-    notices::Notices,
+    servers::Servers,
 };
 use crate::{
     directory::{Change, Directory, Entry},
@@ -40,7 +40,7 @@
     pub(super) settings: Settings,
     pub(super) nodes: u32,
     pub(super) directory: Directory,
-    pub(super) servers: HashMap<Name, Server>,
+    pub(super) servers: Servers,
     /// The names of the servers by their hashes, which reports carry.
     pub(super) keys: HashMap<u32, Name>,
     baselines: Recent<Baseline>,
@@ -51,8 +51,6 @@
     pub(super) closed: HashSet<Name>,
     /// Servers that must get no requests although their entries allow it, with their start.
     pub(super) retired: HashMap<Name, u64>,
-    /// What servers have said of themselves in their answers.
-    pub(super) notices: Notices,
     /// The servers whose limits have ended, as this node observed, since the last report.
     pub(super) unlimited: Vec<u32>,
     pub(super) rng: SmallRng,
@@ -65,7 +63,7 @@
             nodes: settings.assumed_nodes.max(1),
             settings,
             directory: Directory::new(),
-            servers: HashMap::new(),
+            servers: Servers::default(),
             keys: HashMap::new(),
             baselines: Recent::new(MAX_LATENCIES),
             windows: HashMap::new(),
@@ -73,7 +71,6 @@
             waiting: HashMap::new(),
             closed: HashSet::new(),
             retired: HashMap::new(),
-            notices: Notices::default(),
             unlimited: Vec::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
@@ -113,14 +110,15 @@
     pub fn on_change(&mut self, change: &Change, now: Time) {
         match change {
             Change::Added(id) | Change::Restarted(id) => {
-                self.servers.insert(id.clone(), Server::new());
+                if let Some(entry) = self.directory.get(id) {
+                    self.servers.list(entry);
+                }
                 self.keys.insert(id.key(), id.clone());
                 self.on_cold(id, now);
             }
             Change::Removed(id) => {
-                self.servers.remove(id);
+                self.servers.unlist(id);
                 self.keys.remove(&id.key());
-                self.notices.on_removed(id);
             }
             // The entry may be that of a new start.
             Change::Held { id, .. } => self.set_cold(id, self.directory.held_cold(id), now),
@@ -131,7 +129,7 @@
     /// Records that this node reaches the servers again. That it did not reach them says nothing
     /// about them.
     pub fn on_regained(&mut self) {
-        self.servers.values_mut().for_each(Server::forget_failures);
+        self.servers.iter_mut().for_each(|it| it.1.forget_failures());
     }
 
     /// Returns the servers with an overdue request that have not answered since it was sent.
@@ -182,7 +180,7 @@
                 continue;
             }
             let room = self.room(&entry, max, now);
-            let server = self.servers.entry(entry.id.clone()).or_default();
+            let server = self.servers.list(&entry);
             let has_room = server.running() < room && server.has_credit(purpose, self.nodes, now);
             if server.is_down(now) || !has_room {
                 continue;
@@ -243,7 +241,7 @@
     /// Records that a request is sent to a server.
     pub fn on_sent(&mut self, id: &Name, rule: &Rule, now: Time) {
         let usual = self.usual_latency(rule);
-        let server = self.servers.entry(id.clone()).or_default();
+        let Some(server) = self.servers.get_mut(id) else { return };
         let expected = usual.mul_f64(server.slowness(now).max(1.0));
         server.on_sent(expected, self.nodes, now);
     }
--- a/crates/core/src/balance/leaving.rs
+++ b/crates/core/src/balance/leaving.rs
@@ -12,9 +12,9 @@
 impl Balancer {
     /// Records that a server has said that it leaves, for good. Returns whether that is new.
     pub fn on_leaving(&mut self, server: &Arc<Entry>, now: Time) -> bool {
-        let Some(notice) = self.notices.entry(server) else { return false };
-        let is_new = notice.leaves_since.is_none();
-        notice.leaves_since.get_or_insert(now);
+        let Some(server) = self.servers.of_mut(server) else { return false };
+        let is_new = server.leaves_since.is_none();
+        server.leaves_since.get_or_insert(now);
         is_new
     }
 
@@ -30,6 +30,6 @@
     }
 
     fn leaves_since(&self, server: &Entry) -> Option<Time> {
-        self.notices.get(server).and_then(|it| it.leaves_since)
+        self.servers.of(server).and_then(|it| it.leaves_since)
     }
 }
--- a/crates/core/src/balance/resting.rs
+++ b/crates/core/src/balance/resting.rs
@@ -21,9 +21,9 @@
     /// Records that a server wants no requests for some time. The latest end counts. Returns whether
     /// its rest begins.
     pub fn on_resting(&mut self, server: &Arc<Entry>, rest: Duration, now: Time) -> bool {
-        let Some(notice) = self.notices.entry(server) else { return false };
-        let is_new = notice.rests_until.is_none_or(|it| it <= now);
-        notice.rests_until = notice.rests_until.max(Some(now + rest.min(MAX_REST)));
+        let Some(server) = self.servers.of_mut(server) else { return false };
+        let is_new = server.rests_until.is_none_or(|it| it <= now);
+        server.rests_until = server.rests_until.max(Some(now + rest.min(MAX_REST)));
         is_new
     }
 
@@ -34,7 +34,7 @@
 
     /// Returns until when a server wants or wanted no requests, if it has said so.
     pub(super) fn rests_until(&self, server: &Entry) -> Option<Time> {
-        self.notices.get(server).and_then(|it| it.rests_until)
+        self.servers.of(server).and_then(|it| it.rests_until)
     }
 
     /// Returns how many requests a server may run for this node, which has `max` connections for it.
--- a/crates/core/src/balance/server.rs
+++ b/crates/core/src/balance/server.rs
@@ -59,7 +59,8 @@
     Abandoned,
 }
 
-/// The state of one backend server, as this node observed it and other nodes reported it.
+/// The state of one process of a backend server, as this node observed it, other nodes reported it, and the process
+/// stated it.
 #[derive(Clone, Debug)]
 pub struct Server {
     /// When each request under way was sent, with the time that it was expected to take.
@@ -80,6 +81,10 @@
     idle_since: Time,
     /// The share of this node in the limit that the server has stated, if it has.
     quota: Option<Quota>,
+    /// When this node learned that the server leaves, if it does.
+    pub(super) leaves_since: Option<Time>,
+    /// Until when the server wants or wanted no requests of this node, if it has said so.
+    pub(super) rests_until: Option<Time>,
 }
 
 impl Server {
@@ -99,6 +104,8 @@
             idle: 0,
             idle_since: Time::ZERO,
             quota: None,
+            leaves_since: None,
+            rests_until: None,
         }
     }
 
@@ -210,6 +217,11 @@
         self.down_until = Time::ZERO;
     }
 
+    /// Forgets the requests under way.
+    pub fn forget_requests(&mut self) {
+        self.under_way.clear();
+    }
+
     /// Returns the number of requests under way.
     pub fn running(&self) -> usize {
         self.under_way.len()
--- a/crates/core/tests/direct/cold_share.rs
+++ b/crates/core/tests/direct/cold_share.rs
@@ -47,6 +47,32 @@
     assert!(most > 0 && most as f64 <= 20.0 * 1.5 + 5.0, "{most} requests in one second");
 }
 
+/// Guards against a cold server that gets its share twice because its entry is gone for a moment.
+#[test]
+fn overwritten_entry() {
+    let mut node = nodes(1, 20.0).remove(0);
+    let before = saturate(std::slice::from_mut(&mut node)).len();
+    let cold = Entry { cold: Duration::from_secs(20), ..entry(1, "one", "a") };
+    node.extend(11, vec![Fact::Gone(cold.id.clone())], at(2_999));
+    node.extend(12, vec![Fact::Server(cold.clone())], at(2_999));
+    let (plan, rule, name) = (node.plan.clone(), node.rule("one"), Name::new("one"));
+    let picked = node.balancer.pick(&name, &rule, &plan, &[], Purpose::First, at(2_999));
+    assert!(before > 0 && picked.is_none(), "the share of this second is used up");
+}
+
+/// Guards against requests under way that count for ever because the entry of their server was gone when they ended.
+#[test]
+fn ended_without_entry() {
+    let mut node = nodes(1, 20.0).remove(0);
+    let (rule, id) = (node.rule("one"), Name::new("i-1"));
+    node.balancer.on_sent(&id, &rule, at(0));
+    node.extend(11, vec![Fact::Gone(id.clone())], at(10));
+    let observation = mimosabridge::balance::Observation::Served;
+    node.balancer.on_end(&id, &rule, at(0), observation, Duration::ZERO, at(20));
+    node.extend(12, vec![Fact::Server(entry(1, "one", "a"))], at(30));
+    assert_eq!(node.balancer.server(&id).expect("the server is known").running(), 0);
+}
+
 #[test]
 fn share_below_one() {
     assert!(saturate(&mut nodes(20, 1.0)).is_empty(), "less than one request for each node");
--- a/crates/core/tests/direct/stated_limits.rs
+++ b/crates/core/tests/direct/stated_limits.rs
@@ -225,6 +225,21 @@
     assert!(node.balancer.server(&id).is_some_and(|it| it.quota().is_none()));
 }
 
+/// Guards against a limit that is forgotten because the entry of its server is gone for a moment.
+#[test]
+fn overwritten_entry() {
+    let mut node = node();
+    state(&mut node, 1, Stated::Limit(0.1), at(0));
+    node.extend(11, vec![Fact::Gone(Name::new("i-1"))], at(100));
+    state(&mut node, 1, Stated::Limit(0.2), at(200));
+    node.extend(12, vec![Fact::Server(entry(1, "one", "a"))], at(1_300));
+    node.extend(13, vec![Fact::Gone(Name::new("i-2"))], at(1_300));
+    assert_eq!(picked(&mut node, Purpose::First, at(1_400)), [] as [Name; 0]);
+    let restarted = Entry { born: 2, ..entry(1, "one", "a") };
+    node.extend(14, vec![Fact::Server(restarted)], at(2_000));
+    assert_eq!(picked(&mut node, Purpose::First, at(2_100)).len(), 20);
+}
+
 /// A server that has started again knows nothing of the limit of its predecessor.
 #[test]
 fn restarted_server() {
