Tell the balancer of coldness whichever way an entry comes

Cause: a delta told the balancer of the coldness of each entry; a list and the full update of a peer told it of changes only, and a new coldness of a known process was none.

Ruled out: an old list (the directory had the coldness), a wrong rate (it holds if the entries come by a watch).

Change: a new entry that states a coldness is a change, Change::Cold, for all paths; the separate path of deltas is gone. A list that repeats a known entry says nothing new, so that a coldness isn't prolonged. That a cold server says so again isn't logged. Held entries go on with their time over a list.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -122,7 +122,8 @@
             }
             // The entry may be that of a new start.
             Change::Held { id, .. } => self.set_cold(id, self.directory.held_cold(id), now),
-            Change::Draining(_) | Change::Lapsed(_) | Change::Returned(_) => {}
+            Change::Cold(id) | Change::Returned(id) => self.on_cold(id, now),
+            Change::Draining(_) | Change::Lapsed(_) => {}
         }
     }
 
@@ -138,7 +139,7 @@
     }
 
     /// Makes a server count as cold for as long as its directory entry says.
-    pub fn on_cold(&mut self, id: &Name, now: Time) {
+    fn on_cold(&mut self, id: &Name, now: Time) {
         self.set_cold(id, self.directory.get(id).map(|it| it.cold), now);
     }
 
--- a/crates/core/src/directory/change.rs
+++ b/crates/core/src/directory/change.rs
@@ -10,6 +10,8 @@
     Restarted(Name),
     /// A server announced that it will stop.
     Draining(Name),
+    /// A server said again, in a new entry, that it is cold.
+    Cold(Name),
     /// The entry of a server disappeared while the store was unavailable or had just recovered.
     Lapsed(Name),
     /// The lapsed entry of a server reappeared.
--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -173,6 +173,7 @@
             Some(old) if !old.is_same_instance(new) => Some(Change::Restarted(id.clone())),
             Some(old) if new.is_draining && !old.is_draining => Some(Change::Draining(id.clone())),
             Some(_) if was_lapsed => Some(Change::Returned(id.clone())),
+            Some(_) if !new.cold.is_zero() => Some(Change::Cold(id.clone())),
             Some(_) => None,
         };
         if old.as_ref().is_none_or(|it| it.service != new.service) {
@@ -250,12 +251,19 @@
         let listed: HashSet<_> = entries.iter().map(|it| &it.id).collect();
         let missing = self.entries.keys().filter(|it| !listed.contains(it));
         let missing: Vec<_> = missing.cloned().collect();
-        self.held.retain(|it| listed.contains(it));
+        let held = std::mem::take(&mut self.held);
         let mut changes: Vec<_> = missing.iter().filter_map(|it| on_missing(self, it)).collect();
-        changes.extend(entries.into_iter().filter_map(|it| self.set(it)));
+        changes.extend(entries.into_iter().filter_map(|it| self.set_listed(it)));
+        self.held.resume(&held);
         changes
     }
 
+    /// Inserts or updates an entry of a list, unless that repeats the known one.
+    fn set_listed(&mut self, entry: Entry) -> Option<Change> {
+        let is_known = self.entries.get(&entry.id).is_some_and(|it| **it == entry);
+        if is_known && !self.lapsed.contains(&entry.id) { None } else { self.set(entry) }
+    }
+
     /// Returns whether lapsed entries have had time to reappear.
     fn is_settled(&self, now: Time) -> bool {
         self.record.is_settled(self.failing_since, now)
--- a/crates/core/src/directory/held.rs
+++ b/crates/core/src/directory/held.rs
@@ -51,9 +51,12 @@
         self.entries.remove(id);
     }
 
-    /// Drops the entries of all servers that are not listed.
-    pub fn retain(&mut self, is_listed: impl Fn(&Name) -> bool) {
-        self.entries.retain(|id, _| is_listed(id));
+    /// Goes on with the times of `before`.
+    pub fn resume(&mut self, before: &Held) {
+        for (id, item) in &mut self.entries {
+            let known = before.entries.get(id).filter(|it| it.entry.born == item.entry.born);
+            item.since = item.since.or(known.and_then(|it| it.since));
+        }
     }
 
     /// Begins the time of all entries anew, because later writes could not be seen.
--- a/crates/core/src/feed/mirror.rs
+++ b/crates/core/src/feed/mirror.rs
@@ -249,12 +249,7 @@
                     events.extend(self.apply_plan(spec, after.era));
                     None
                 }
-                Fact::Server(entry) => {
-                    let id = entry.id.clone();
-                    let change = balancer.directory_mut().set(entry);
-                    balancer.on_cold(&id, now);
-                    change
-                }
+                Fact::Server(entry) => balancer.directory_mut().set(entry),
                 Fact::Gone(id) => balancer.directory_mut().remove(&id),
                 Fact::Lapsed(id) => balancer.directory_mut().lapse(&id, now),
                 Fact::Closed(data_centre) => {
@@ -324,7 +319,7 @@
     }
 }
 
-/// Notifies the balancer of changes and returns them as events.
+/// Notifies the balancer of changes and returns them as events, except that a cold server says again that it is.
 fn notify(
     changes: impl IntoIterator<Item = Change>,
     balancer: &mut Balancer,
@@ -332,8 +327,12 @@
 ) -> Vec<Event> {
     let mut events = Vec::new();
     for change in changes {
+        let is_cold = |id| balancer.server(id).is_some_and(|it| it.is_cold(now));
+        let is_repeated = matches!(&change, Change::Cold(id) if is_cold(id));
         balancer.on_change(&change, now);
-        events.push(Event::Server(change));
+        if !is_repeated {
+            events.push(Event::Server(change));
+        }
     }
     events
 }
--- a/crates/core/tests/direct/cold_share.rs
+++ b/crates/core/tests/direct/cold_share.rs
@@ -2,7 +2,15 @@
 
 use std::time::Duration;
 
-use mimosabridge::{balance::Purpose, directory::Entry, feed::Fact, name::Name, plan::Target};
+use mimosabridge::{
+    balance::Purpose,
+    directory::Entry,
+    feed::{Event, Fact, Position, Snapshot, Update},
+    name::Name,
+    plan::Target,
+    time::Time,
+};
+use rstest::rstest;
 
 use crate::fixture::{Node, at, entry, rule, service};
 
@@ -47,6 +55,33 @@
     assert!(most > 0 && most as f64 <= 20.0 * 1.5 + 5.0, "{most} requests in one second");
 }
 
+/// Guards against a cold server that counts as warm because a list, or the full update of a peer, says that it is cold.
+#[rstest]
+#[case::list(|node: &mut Node, snapshot, now| {
+    node.mirror.replace(snapshot, &mut node.balancer, now)
+})]
+#[case::peer(|node: &mut Node, snapshot, now| {
+    let update = Update::All(snapshot);
+    node.mirror.apply(Position::new(0, 10), update, &mut node.balancer, now)
+})]
+fn listed_cold(#[case] apply: fn(&mut Node, Snapshot, Time) -> Vec<Event>) {
+    let rules = vec![rule("one", Target::One(Name::new("one")))];
+    let warm = entry(1, "one", "a");
+    let mut node = Node::new(rules, vec![service("one", 4.0)], vec![warm.clone()]);
+    let cold = Entry { cold: Duration::from_secs(3), ..warm };
+    let list = |revision| {
+        let facts = vec![Fact::Server(cold.clone())];
+        Snapshot { position: Position::new(0, revision), facts }
+    };
+    let is_cold = |node: &Node, millis| {
+        node.balancer.server(&cold.id).expect("the server is known").is_cold(at(millis))
+    };
+    apply(&mut node, list(20), at(100));
+    assert!(is_cold(&node, 3_000) && !is_cold(&node, 3_200));
+    apply(&mut node, list(30), at(2_000));
+    assert!(!is_cold(&node, 3_200), "it was written once, and says nothing of the time since");
+}
+
 /// Guards against a cold server that gets its share twice because its entry is gone for a moment.
 #[test]
 fn overwritten_entry() {
