Let nodes without requests check servers when others are cut off

Change: a node that had no answer for 2 s checks a server when another node has lately not said that it reaches one.

--- a/crates/core/src/member/helpers.rs
+++ b/crates/core/src/member/helpers.rs
@@ -1,13 +1,20 @@
 use std::time::Duration;
 
 use super::{Peer, State};
-use crate::{reach::Helper, time::Time};
+use crate::{name::Name, reach::Helper, time::Time};
 
 /// How long another node counts as reaching servers after one has answered it. In a large fleet it
 /// takes some seconds to hear of a node again.
 pub(super) const MAX_REACH_AGE: Duration = Duration::from_secs(4);
 
 impl Peer {
+    /// Returns whether another node has lately not said that it reaches servers, so that it may need this one.
+    pub fn is_needed(&self, now: Time) -> bool {
+        let is_alive = |it: &Name| self.roster().get(it).is_some_and(|it| it.state == State::Alive);
+        let mut lacking = self.lacking.iter();
+        lacking.any(|(name, said)| now.since(*said) < MAX_REACH_AGE && is_alive(name))
+    }
+
     /// Returns the nodes that have lately reached a server.
     pub fn helpers(&self, now: Time) -> Vec<Helper> {
         let helper = |name, reached: &Time| {
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -42,6 +42,8 @@
     reached: Option<Time>,
     /// When a server last answered other nodes, as they told.
     pub(super) reached_by: BTreeMap<Name, Time>,
+    /// When other nodes sent a packet that doesn't say that they reach servers.
+    pub(super) lacking: BTreeMap<Name, Time>,
     relays: Vec<Relay>,
     next_round: Time,
     last_received: Option<Time>,
@@ -83,6 +85,7 @@
             progress: None,
             reached: None,
             reached_by: BTreeMap::new(),
+            lacking: BTreeMap::new(),
             relays: Vec::new(),
             next_round: now,
             last_received: None,
@@ -209,10 +212,12 @@
         let age = PLATFORM_AGE_UNIT * u32::from(packet.platform_age);
         self.last_platform_read = self.last_platform_read.max(now.before(age));
         let reached = packet.reach_age.map(|it| now.before(REACH_AGE_UNIT * u32::from(it)));
-        match reached {
-            Some(reached) => self.reached_by.insert(packet.from.name.clone(), reached),
-            None => self.reached_by.remove(&packet.from.name),
+        let (reaching, other) = match reached {
+            Some(_) => (&mut self.reached_by, &mut self.lacking),
+            None => (&mut self.lacking, &mut self.reached_by),
         };
+        reaching.insert(packet.from.name.clone(), reached.unwrap_or(now));
+        other.remove(&packet.from.name);
         let sender = packet.from.clone();
         let mut actions = self.on_sender(&packet, now);
         actions.extend(self.on_news(packet.news, &sender, now, rng));
@@ -265,6 +270,7 @@
         actions.extend(self.expire_suspects(now, rng));
         self.roster.remove_dead(self.settings.dead_retention, now);
         self.reached_by.retain(|_, it| now.since(*it) < MAX_REACH_AGE);
+        self.lacking.retain(|_, it| now.since(*it) < MAX_REACH_AGE);
         actions.extend(self.probe(now, rng));
         actions
     }
--- a/crates/core/src/reach/reach.rs
+++ b/crates/core/src/reach/reach.rs
@@ -27,6 +27,13 @@
 /// How long a node counts as stopping after it has said so, unless its successor answers before.
 const LEAVING_TIME: Duration = Duration::from_secs(10);
 
+/// How long ago a server may have answered a node that others may need, before it checks one. The word that a server
+/// answered must reach them while it counts.
+const MAX_QUIET: Duration = Duration::from_secs(2);
+
+/// How soon it checks another server if one has not answered.
+const QUIET_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// How long this node's view of servers is not told to others after the last answer of one: a node
 /// that is being cut off sees all of them fail.
 const MAX_REPORT_SILENCE: Duration = Duration::from_millis(250);
@@ -44,6 +51,10 @@
     /// When servers failed.
     failures: HashMap<Name, Time>,
     is_checking: bool,
+    /// Whether another node may need this one.
+    is_needed: bool,
+    /// When this node last began to check a server for the sake of others.
+    last_check: Option<Time>,
     /// When checks last showed that this node reaches the servers.
     checked: Option<Time>,
     /// The checks in a row that were answered since this node lost the servers.
@@ -98,6 +109,23 @@
         self.silence(now) >= MIN_SILENCE && self.on_failure(server, now)
     }
 
+    /// Records whether another node may need this one to serve its callers.
+    pub fn set_needed(&mut self, is_needed: bool) {
+        self.is_needed = is_needed;
+    }
+
+    /// Returns whether to check a server now, because another node may need this one, which has had no answer for some
+    /// time. An answer goes to [`Reach::on_answer`], a failure to [`Reach::on_failure`].
+    pub fn begin_check(&mut self, now: Time) -> bool {
+        let is_quiet = self.silence(now) >= MAX_QUIET && self.lost_since.is_none();
+        let was_begun = self.last_check.is_some_and(|it| now.since(it) < QUIET_CHECK_INTERVAL);
+        let is_due = self.is_needed && is_quiet && !was_begun;
+        if is_due {
+            self.last_check = Some(now);
+        }
+        is_due
+    }
+
     /// Returns whether a server has lately failed.
     pub fn has_failed(&self, server: &Name) -> bool {
         self.failures.contains_key(server)
--- a/crates/core/tests/direct/lost_servers.rs
+++ b/crates/core/tests/direct/lost_servers.rs
@@ -156,6 +156,39 @@
     assert!(reach.is_witness(at(310)));
 }
 
+/// Guards against a node that doesn't know whether it could serve the callers of one that has lost the servers.
+#[test]
+fn quiet_node_checked() {
+    let mut reach = Reach::new(at(0));
+    reach.on_answer(at(100));
+    assert!(!reach.begin_check(at(3_000)), "no node needs it");
+    reach.set_needed(true);
+    assert!(!reach.begin_check(at(2_000)), "a server has answered lately");
+    assert!(reach.begin_check(at(2_200)));
+    assert!(!reach.begin_check(at(2_900)), "the last check is under way");
+    reach.on_answer(at(2_950));
+    assert!(!reach.begin_check(at(4_900)));
+    assert!(reach.begin_check(at(5_000)));
+    lose(&mut reach, 6_000);
+    assert!(!reach.begin_check(at(9_000)), "it needs help itself");
+}
+
+/// A node needs others as long as it says that it reaches no server, or doesn't say that it does.
+#[rstest]
+#[case(Some(1_000), 1_100, false)]
+#[case(None, 1_100, true)]
+#[case(None, 5_000, true)]
+#[case(None, 5_100, false)]
+fn others_need_help(#[case] reached: Option<u64>, #[case] now: u64, #[case] is_needed: bool) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut node = Peer::new(record(0, "a"), Default::default(), at(0));
+    let mut other = Peer::new(record(1, "a"), Default::default(), at(0));
+    other.set_reached(reached.map(at));
+    let packet = packet(&mut other, &node, 1_050);
+    node.on_packet(packet, at(1_050), &mut rng);
+    assert_eq!(node.is_needed(at(now)), is_needed);
+}
+
 /// Returns a packet as a node sends it to another.
 fn packet(from: &mut Peer, to: &Peer, millis: u64) -> Packet {
     let mut rng = StdRng::seed_from_u64(1);
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -55,6 +55,8 @@
 pub const SERVERS_LOST: Event = Event::new(5119, Level::Warn, "servers lost");
 /// Servers answer this node again.
 pub const SERVERS_REGAINED: Event = Event::new(5120, Level::Info, "servers answer again");
+/// A server was checked, as another node may need this one, which had no answer lately.
+pub const QUIET_CHECK: Event = Event::new(5126, Level::Info, "server checked for other nodes");
 /// A watch beside the readers failed.
 pub const SCOUT_FAILED: Event = Event::new(5121, Level::Info, "watch beside the readers failed");
 /// A server has said in an answer that it leaves.
--- a/crates/direct/src/node/reach.rs
+++ b/crates/direct/src/node/reach.rs
@@ -46,6 +46,23 @@
         self.refresh_ready();
     }
 
+    /// Checks a server if another node may need this one to serve its callers, and this one has had no answer lately.
+    pub fn check_for_others(self: &Rc<Shared>, now: Time) {
+        if !self.state.borrow_mut().reach.begin_check(now) {
+            return;
+        }
+        let shared = self.clone();
+        tokio::task::spawn_local(async move {
+            let Some(server) = shared.servers_to_check(1).pop() else { return };
+            let is_answered = shared.is_answered_by(&server).await;
+            match is_answered {
+                true => shared.on_reached(),
+                false => shared.on_unreached(&server.id),
+            }
+            events::QUIET_CHECK.emit(&[("server", &server.id), ("answered", &is_answered)]);
+        });
+    }
+
     /// Returns whether this node has lost the servers.
     pub fn has_lost_servers(&self) -> bool {
         self.state.borrow().reach.is_lost()
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -167,6 +167,7 @@
     shared.pool.expire(tick.now);
     shared.relay_pool.expire(tick.now);
     shared.check_reach(tick.now);
+    shared.check_for_others(tick.now);
     shared.update_evidence(tick.now);
     let changes = shared.update_mirror(|mirror, balancer, _| mirror.tick(balancer, tick.now));
     shared.on_changes(&changes, "time");
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -262,7 +262,10 @@
         self.push_crashes(tick.now);
         self.update_node_count(tick.now);
         let helpers = self.peer.borrow().helpers(tick.now);
-        self.shared.state.borrow_mut().reach.set_helpers(helpers);
+        let is_needed = self.peer.borrow().is_needed(tick.now);
+        let reach = &mut self.shared.state.borrow_mut().reach;
+        reach.set_helpers(helpers);
+        reach.set_needed(is_needed);
     }
 
     /// Returns up to where this node knows the published facts.
--- a/crates/direct/tests/node/stranded_nodes.rs
+++ b/crates/direct/tests/node/stranded_nodes.rs
@@ -22,6 +22,9 @@
 /// How long a node that is cut off has to notice it.
 const STABLE_TIME: Duration = Duration::from_secs(4);
 
+/// Longer than an answer shows that a node reaches servers.
+const QUIET_TIME: Duration = Duration::from_secs(5);
+
 /// How long a caller waits.
 const CALLER_TIME: Duration = Duration::from_secs(1);
 
@@ -145,6 +148,24 @@
     });
 }
 
+/// Guards against callers that are refused because the nodes that reach the servers have had no request lately, or none
+/// at all.
+#[rstest]
+fn quiet_helper(#[values(false, true)] was_used: bool) {
+    run(async {
+        let place = Place::new(Cut::Silent).await;
+        let quiet = place.start("quiet", false, &[]).await;
+        let stranded = place.start("stranded", true, &[&quiet]).await;
+        if was_used {
+            assert!(is_served(&quiet, "/one/x").await);
+            sleep(QUIET_TIME).await;
+        }
+        use_for(STABLE_TIME, &[&stranded]).await;
+        let count = served(&stranded, "/one/").await;
+        assert!(count * 3 >= REQUESTS * 2, "{count} of {REQUESTS} served");
+    });
+}
+
 /// New callers are sent to nodes that reach the servers, and come back after the cut.
 #[test]
 fn ready_while_stranded() {
