Write a request as soon as its deadline is computed

Cause of what the test shows: an attempt states the time that is left, but its connection was polled before the request was made and wrote it when it was polled again. All attempts of a query were made first: a node that got no processor time between the two sent stale deadlines to all shards, of which a query has 90 to 135.

Ruled out: time spent on opening connections (the time is computed after that, except for relayed requests).

Change: the connection is polled again right after the request was made. A relayed request, the related path, states the time that is left when its connection is open.

Measured: stale_deadlines::written_later failed before (nothing was written in the first poll) and passes.

--- a/crates/direct/src/backend/link.rs
+++ b/crates/direct/src/backend/link.rs
@@ -1,4 +1,11 @@
-use std::{future::poll_fn, io::ErrorKind, net::SocketAddr, pin::pin, task::Poll, time::Duration};
+use std::{
+    future::poll_fn,
+    io::ErrorKind,
+    net::SocketAddr,
+    pin::pin,
+    task::{Context, Poll},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response};
@@ -163,13 +170,22 @@
 async fn drive<T>(driver: &mut Option<Driver>, work: impl Future<Output = T>) -> T {
     let mut work = pin!(work);
     poll_fn(|context| {
-        if let Some(connection) = driver
-            && let Poll::Ready(_end) = std::pin::Pin::new(connection).poll(context)
-        {
-            // The error of the connection is also returned by the work that waits on it.
-            *driver = None;
+        advance(driver, context);
+        let result = work.as_mut().poll(context);
+        if result.is_pending() {
+            // Writes a request that the work has just made: the time that it states is left passes.
+            advance(driver, context);
         }
-        work.as_mut().poll(context)
+        result
     })
     .await
 }
+
+fn advance(driver: &mut Option<Driver>, context: &mut Context<'_>) {
+    if let Some(connection) = driver
+        && let Poll::Ready(_end) = std::pin::Pin::new(connection).poll(context)
+    {
+        // The error of the connection is also returned by the work that waits on it.
+        *driver = None;
+    }
+}
--- a/crates/direct/src/front/relay.rs
+++ b/crates/direct/src/front/relay.rs
@@ -1,7 +1,5 @@
 //! Relays requests of callers to another node while this one reaches no server.
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response};
 use http_body_util::Full;
@@ -41,7 +39,7 @@
         let (answer, step) = match helper.filter(|_| !left.is_zero()) {
             None => (None, Step::Keep),
             Some(helper) => {
-                let work = send(shared, &helper, outgoing, left);
+                let work = send(shared, &helper, outgoing, deadline);
                 let sent = tokio::select! {
                     sent = tokio::time::timeout(left, work) => sent.ok(),
                     () = shared.answers_due() => None,
@@ -100,7 +98,7 @@
     shared: &Shared,
     helper: &Helper,
     outgoing: &Outgoing,
-    left: Duration,
+    deadline: Time,
 ) -> Result<Response<Bytes>, LinkError> {
     let pooled = shared.relay_pool.take(&helper.name, outgoing, shared.now()).await;
     let mut link = match pooled {
@@ -111,6 +109,7 @@
     *request.method_mut() = outgoing.method.clone();
     *request.uri_mut() = outgoing.target.clone();
     *request.headers_mut() = outgoing.headers.clone();
+    let left = shared.now().until(deadline);
     let left = HeaderValue::from(left.as_millis().max(1) as u64);
     request.headers_mut().insert(&shared.headers.deadline, left);
     let answer = link.exchange(request).await?;
--- a/crates/direct/tests/node/main.rs
+++ b/crates/direct/tests/node/main.rs
@@ -23,6 +23,7 @@
 mod served_requests;
 mod short_frames;
 mod stale_connections;
+mod stale_deadlines;
 mod stranded_nodes;
 mod turned_away_reader;
 mod unseen_ends;
