Take the interval in which servers write from the settings

With another heartbeatMs than 1200, a removal would be taken for a lapse or the other way round: servers that have left would get requests for 2.3 s, or those that run would get none.

Cause: the shortest outage that makes entries lapse was a constant with the value of the interval on today's deployments.

Measured: lapsed_entries::other_interval covers 3 s and 0.1 s, heartbeat_interval the settings; the constants couldn't express either before, so that no test of them failed. The tests of 1.2 s pass unchanged.

--- a/crates/core/src/balance/balancer.rs
+++ b/crates/core/src/balance/balancer.rs
@@ -61,8 +61,8 @@
     pub fn new(settings: Settings, seed: u64) -> Balancer {
         Balancer {
             nodes: settings.assumed_nodes.max(1),
+            directory: Directory::new().with_write_interval(settings.write_interval),
             settings,
-            directory: Directory::new(),
             servers: Servers::default(),
             keys: HashMap::new(),
             baselines: Recent::new(MAX_LATENCIES),
--- a/crates/core/src/balance/settings.rs
+++ b/crates/core/src/balance/settings.rs
@@ -21,6 +21,8 @@
     pub cold_slack: f64,
     /// How long after the word that a server leaves it may still get requests.
     pub drain_time: Duration,
+    /// How often servers write their entries.
+    pub write_interval: Duration,
     /// The number of nodes that is assumed until the others are known.
     pub assumed_nodes: u32,
 }
--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -7,8 +7,11 @@
 use super::{Change, Edition, Entry, Uptime, held::Held, removed::Removed, uptime::Record};
 use crate::{name::Name, time::Time};
 
+/// How often servers write their entries, unless said otherwise.
+pub const WRITE_INTERVAL: Duration = Duration::from_millis(1_200);
+
 /// The entries of all known backend servers, indexed by identity and by service.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Directory {
     entries: HashMap<Name, Arc<Entry>>,
     services: HashMap<Name, Vec<Name>>,
@@ -25,7 +28,20 @@
 impl Directory {
     /// Creates an empty directory.
     pub fn new() -> Directory {
-        Directory::default()
+        Directory {
+            entries: HashMap::new(),
+            services: HashMap::new(),
+            lapsed: HashSet::new(),
+            removed: Removed::default(),
+            held: Held::new(WRITE_INTERVAL),
+            failing_since: None,
+            record: Record::new(WRITE_INTERVAL),
+        }
+    }
+
+    /// Sets how often servers write their entries.
+    pub fn with_write_interval(self, interval: Duration) -> Directory {
+        Directory { held: Held::new(interval), record: Record::new(interval), ..self }
     }
 
     /// Returns the entry of a server.
@@ -251,7 +267,7 @@
         let listed: HashSet<_> = entries.iter().map(|it| &it.id).collect();
         let missing = self.entries.keys().filter(|it| !listed.contains(it));
         let missing: Vec<_> = missing.cloned().collect();
-        let held = std::mem::take(&mut self.held);
+        let held = self.held.take();
         let mut changes: Vec<_> = missing.iter().filter_map(|it| on_missing(self, it)).collect();
         changes.extend(entries.into_iter().filter_map(|it| self.set_listed(it)));
         self.held.resume(&held);
@@ -286,3 +302,9 @@
         }
     }
 }
+
+impl Default for Directory {
+    fn default() -> Directory {
+        Directory::new()
+    }
+}
--- a/crates/core/src/directory/held.rs
+++ b/crates/core/src/directory/held.rs
@@ -3,16 +3,17 @@
 use super::Entry;
 use crate::{name::Name, time::Time};
 
-/// How long an older entry must stand before it counts: four intervals in which servers write. A server that runs
-/// replaces an older entry of itself within one, and an entry that nobody writes is removed after three.
-const HOLD_TIME: Duration = Duration::from_millis(4_800);
+/// How many intervals in which servers write an older entry must stand before it counts. A server that runs replaces an
+/// older entry of itself within one, and an entry that nobody writes is removed after three.
+const HOLD_INTERVALS: u32 = 4;
 
 /// Entries that were written before the known ones of their servers.
 ///
 /// The store may apply a write seconds late. Only time tells it from the write of a server whose clock is behind its
 /// last start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Held {
+    hold_time: Duration,
     entries: HashMap<Name, Item>,
 }
 
@@ -24,6 +25,11 @@
 }
 
 impl Held {
+    /// Holds nothing back, of servers that write their entries at an interval.
+    pub fn new(write_interval: Duration) -> Held {
+        Held { hold_time: write_interval * HOLD_INTERVALS, entries: HashMap::new() }
+    }
+
     /// Holds an entry back. A further write of the same start doesn't begin the time anew. Returns whether the start
     /// is new.
     pub fn insert(&mut self, entry: Entry) -> bool {
@@ -46,6 +52,12 @@
         self.entries.values().map(|it| &it.entry)
     }
 
+    /// Takes all entries.
+    pub fn take(&mut self) -> Held {
+        let entries = std::mem::take(&mut self.entries);
+        Held { entries, ..*self }
+    }
+
     /// Drops the entry of a server.
     pub fn remove(&mut self, id: &Name) {
         self.entries.remove(id);
@@ -66,7 +78,8 @@
 
     /// Takes the entries that have stood for the time.
     pub fn take_due(&mut self, now: Time) -> Vec<Entry> {
-        let is_due = |_: &Name, it: &mut Item| now.since(*it.since.get_or_insert(now)) >= HOLD_TIME;
+        let hold_time = self.hold_time;
+        let is_due = |_: &Name, it: &mut Item| now.since(*it.since.get_or_insert(now)) >= hold_time;
         self.entries.extract_if(is_due).map(|it| it.1.entry).collect()
     }
 }
--- a/crates/core/src/directory/mod.rs
+++ b/crates/core/src/directory/mod.rs
@@ -17,5 +17,9 @@
 mod uptime;
 
 pub use self::{
-    change::Change, directory::Directory, edition::Edition, entry::Entry, uptime::Uptime,
+    change::Change,
+    directory::{Directory, WRITE_INTERVAL},
+    edition::Edition,
+    entry::Entry,
+    uptime::Uptime,
 };
--- a/crates/core/src/directory/uptime.rs
+++ b/crates/core/src/directory/uptime.rs
@@ -2,9 +2,8 @@
 
 use crate::time::Time;
 
-/// The shortest outage of the store that can make entries lapse. Servers write their entries every 1.2 s, and an entry
-/// lapses after three intervals without a write: a shorter outage prevents one write at most.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_200);
+/// Longer than the pause between two reads of a node, which shows no outage.
+const MAX_READ_PAUSE: Duration = Duration::from_secs(1);
 
 /// How long a lapsed entry may take to reappear once the store is available again. The platform
 /// promises about two seconds; the rest allows for delivery to this node.
@@ -28,19 +27,17 @@
     pub fn at(time: Time) -> Uptime {
         Uptime { since: time, until: time }
     }
-
-    /// Returns whether a span begins so soon after this one that there was no outage between them.
-    fn is_continued_by(&self, later: &Uptime) -> bool {
-        later.since <= self.until + MIN_OUTAGE
-    }
 }
 
 /// The latest uptime of the store, from the reads of this node and of others.
 ///
 /// A node whose own reads fail can't tell an outage from a fault of its own connection. A read that was
 /// answered, here or at another node, shows that the store was available all the while.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub(super) struct Record {
+    /// The shortest outage that can make entries lapse: the interval in which servers write. An entry lapses after three
+    /// intervals without a write, and a shorter outage prevents one write at most.
+    min_outage: Duration,
     uptime: Option<Uptime>,
     /// Whether an outage preceded the uptime. A node that has just started knows of none.
     is_after_outage: bool,
@@ -49,6 +46,17 @@
 }
 
 impl Record {
+    /// Creates a record of servers that write their entries at an interval.
+    pub fn new(write_interval: Duration) -> Record {
+        let min_outage = write_interval.max(MAX_READ_PAUSE);
+        Record { min_outage, uptime: None, is_after_outage: false, restored: Time::ZERO }
+    }
+
+    /// Returns whether a span begins so soon after an earlier one that there was no outage between them.
+    fn continues(&self, later: &Uptime, earlier: &Uptime) -> bool {
+        later.since <= earlier.until + self.min_outage
+    }
+
     /// Returns the latest uptime, if any is known.
     pub fn uptime(&self) -> Option<Uptime> {
         self.uptime
@@ -56,22 +64,22 @@
 
     /// Adds an uptime. It may bridge what seemed to be an outage.
     pub fn add(&mut self, new: Uptime) {
-        let Some(known) = &mut self.uptime else {
+        let Some(known) = self.uptime else {
             self.uptime = Some(new);
             return;
         };
-        if !known.is_continued_by(&new) {
-            *known = new;
+        if !self.continues(&new, &known) {
+            self.uptime = Some(new);
             self.is_after_outage = true;
-        } else if new.is_continued_by(known) {
-            known.since = known.since.min(new.since).max(self.restored);
-            known.until = known.until.max(new.until);
+        } else if self.continues(&known, &new) {
+            let since = known.since.min(new.since).max(self.restored);
+            self.uptime = Some(Uptime { since, until: known.until.max(new.until) });
         }
     }
 
     /// Adds an uptime, unless there may have been an outage before it.
     pub fn extend(&mut self, new: Uptime) {
-        if self.uptime.is_none_or(|it| it.is_continued_by(&new)) {
+        if self.uptime.is_none_or(|it| self.continues(&new, &it)) {
             self.add(new);
         }
     }
--- a/crates/core/tests/direct/fixture.rs
+++ b/crates/core/tests/direct/fixture.rs
@@ -4,7 +4,7 @@
 
 use mimosabridge::{
     balance::{Balancer, Settings},
-    directory::Entry,
+    directory::{Entry, WRITE_INTERVAL},
     feed::{Fact, Mirror, Position, Snapshot},
     member::{Incarnation, Record, Roles, State},
     name::Name,
@@ -93,6 +93,7 @@
         cold_factor: 1.5,
         cold_slack: 5.0,
         drain_time: Duration::from_secs(3),
+        write_interval: WRITE_INTERVAL,
         assumed_nodes: 1,
     }
 }
--- a/crates/core/tests/direct/lapsed_entries.rs
+++ b/crates/core/tests/direct/lapsed_entries.rs
@@ -1,5 +1,7 @@
 //! Entries that disappear while the store is unavailable.
 
+use std::time::Duration;
+
 use mimosabridge::{
     directory::{Change, Directory, Entry, Uptime},
     feed::{Fact, Position, Snapshot, has_doubtful_gap, has_doubtful_removal},
@@ -114,6 +116,24 @@
     assert_eq!(change, Some(if is_removed { removed } else { Change::Lapsed(id) }));
 }
 
+/// Guards against a removal that is taken for a lapse, or the reverse, because servers write at another interval.
+#[rstest]
+#[case::long(Duration::from_secs(3), 3_900, true)]
+#[case::long_outage(Duration::from_secs(3), 4_100, false)]
+#[case::short(Duration::from_millis(100), 1_900, true)]
+#[case::short_outage(Duration::from_millis(100), 2_100, false)]
+fn other_interval(#[case] interval: Duration, #[case] back: u64, #[case] is_removed: bool) {
+    let mut directory = Directory::new().with_write_interval(interval);
+    directory.replace(vec![entry(1, "one", "a")], at(0));
+    directory.on_store_available(at(0), at(1_000));
+    directory.on_store_unavailable(at(1_100));
+    directory.on_store_available(at(back), at(back));
+    let id = entry(1, "one", "a").id;
+    let removed = Change::Removed(id.clone());
+    let change = directory.on_removed(&id, at(back));
+    assert_eq!(change, Some(if is_removed { removed } else { Change::Lapsed(id) }));
+}
+
 /// Guards against a lapse that lasts although a neighbour shows that there was no outage.
 #[test]
 fn lapse_ended_by_uptime() {
--- a/crates/direct/tests/node/env/mod.rs
+++ b/crates/direct/tests/node/env/mod.rs
@@ -15,7 +15,7 @@
 use http::HeaderName;
 use mimosabridge::{
     balance,
-    directory::Entry,
+    directory::{Entry, WRITE_INTERVAL},
     feed::{Fact, Position, Snapshot},
     name::Name,
     plan::{Gather, Limits, Repeat, Rule, Service, Spec, Target},
@@ -61,6 +61,7 @@
         cold_factor: 1.5,
         cold_slack: 5.0,
         drain_time: Duration::from_secs(3),
+        write_interval: WRITE_INTERVAL,
         assumed_nodes: 2,
     }
 }
