Say of a node that has lost no servers that it may reach them

Cause: a packet without the age of the last answer said both that a node has lost the servers and that none has answered it.

Change: a direct node that has not lost the servers states an age always, the greatest one if there is none or it is greater. Nodes of earlier builds take that for an old answer, as before.

--- a/crates/core/src/member/helpers.rs
+++ b/crates/core/src/member/helpers.rs
@@ -8,7 +8,7 @@
 pub(super) const MAX_REACH_AGE: Duration = Duration::from_secs(4);
 
 impl Peer {
-    /// Returns whether another node has lately not said that it reaches servers, so that it may need this one.
+    /// Returns whether another node has lately said that it has lost the servers, so that it may need this one.
     pub fn is_needed(&self, now: Time) -> bool {
         let is_alive = |it: &Name| self.roster().get(it).is_some_and(|it| it.state == State::Alive);
         let mut lacking = self.lacking.iter();
--- a/crates/core/src/member/packet.rs
+++ b/crates/core/src/member/packet.rs
@@ -22,7 +22,8 @@
     /// node.
     pub platform_age: u16,
     /// The time since a server last answered the sender, in tenths of a second, if it sends requests
-    /// straight to servers and reaches them.
+    /// straight to servers and has not lost them. The greatest value also says that none has answered yet. Earlier builds
+    /// leave it out then.
     pub reach_age: Option<u8>,
     /// The digest of the roster of the sender.
     pub roster: u32,
--- a/crates/core/src/member/peer.rs
+++ b/crates/core/src/member/peer.rs
@@ -40,9 +40,11 @@
     progress: Option<Progress>,
     /// When a server last answered this node, while it reaches them.
     reached: Option<Time>,
+    /// Whether this node sends to servers, and has not lost them.
+    may_reach: bool,
     /// When a server last answered other nodes, as they told.
     pub(super) reached_by: BTreeMap<Name, Time>,
-    /// When other nodes sent a packet that doesn't say that they reach servers.
+    /// When other nodes last said that they have lost the servers.
     pub(super) lacking: BTreeMap<Name, Time>,
     relays: Vec<Relay>,
     next_round: Time,
@@ -84,6 +86,7 @@
             config: None,
             progress: None,
             reached: None,
+            may_reach: false,
             reached_by: BTreeMap::new(),
             lacking: BTreeMap::new(),
             relays: Vec::new(),
@@ -134,6 +137,11 @@
         self.reached = reached;
     }
 
+    /// Records whether this node sends to servers and has not lost them, although none may have answered it yet.
+    pub fn set_may_reach(&mut self, may_reach: bool) {
+        self.may_reach = may_reach;
+    }
+
     /// Records that this node has read the platform.
     pub fn on_platform_read(&mut self, now: Time) {
         self.last_platform_read = now;
@@ -550,9 +558,10 @@
         let platform_age = u16::try_from(age).unwrap_or(u16::MAX);
         let reach_age = self.reached.map(|it| self.now.since(it).as_millis());
         let reach_age = reach_age.map(|it| it.div_ceil(REACH_AGE_UNIT.as_millis()));
+        let reach_age = reach_age.map(|it| u8::try_from(it).unwrap_or(u8::MAX));
         Packet {
             from: self.own.clone(),
-            reach_age: reach_age.and_then(|it| u8::try_from(it).ok()),
+            reach_age: reach_age.or(self.may_reach.then_some(u8::MAX)),
             kind,
             config: self.config,
             progress: self.progress,
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -249,6 +249,7 @@
             let mut peer = self.peer.borrow_mut();
             let state = self.shared.state.borrow();
             peer.set_reached(state.reach.answered());
+            peer.set_may_reach(!state.reach.is_lost());
             peer.set_reserve(state.quarantine.news_bytes() + state.mirror.restriction_bytes());
             drop(state);
             if tick.late >= PAUSE_THRESHOLD {
