Tell nodes that start which entries were removed last

Cause: that an entry is older than a removed one is known only to nodes that have seen it removed.

Ruled out: the order of editions at nodes that run on (none of them sent a request), the full update of a peer (the node reads the store at its start, before it knows any other).

The fields of the call are optional: nodes of earlier builds pass over the question, and send nothing. A new kind of fact was weighed; could not read an update with it.

--- a/crates/core/src/directory/directory.rs
+++ b/crates/core/src/directory/directory.rs
@@ -4,12 +4,15 @@
     time::Duration,
 };
 
-use super::{Change, Entry, Uptime, held::Held, removed::Removed, uptime::Record};
+use super::{Change, Edition, Entry, Uptime, held::Held, removed::Removed, uptime::Record};
 use crate::{name::Name, time::Time};
 
 /// How often servers write their entries, unless said otherwise.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(1_200);
 
+/// The most removed entries that a node is told of.
+const MAX_TOLD_REMOVED: usize = 256;
+
 /// The entries of all known backend servers, indexed by identity and by service.
 #[derive(Clone, Debug)]
 pub struct Directory {
@@ -161,6 +164,19 @@
         self.apply_list(entries, Directory::remove)
     }
 
+    /// Returns the entries that were removed last, for nodes that don't know them.
+    pub fn removed(&self) -> impl Iterator<Item = (Name, Edition)> {
+        self.removed.latest(MAX_TOLD_REMOVED)
+    }
+
+    /// Records that another node has seen the entry of a server removed, which this one may not know.
+    pub fn note_removed(&mut self, id: Name, edition: Edition) {
+        let is_known = self.entries.contains_key(&id) || self.removed.get(&id).is_some();
+        if !is_known {
+            self.removed.insert(id, edition);
+        }
+    }
+
     /// Inserts or updates an entry. One that its server wrote before the known one is held back. Returns the
     /// change, if there is any.
     pub fn set(&mut self, entry: Entry) -> Option<Change> {
--- a/crates/core/src/directory/edition.rs
+++ b/crates/core/src/directory/edition.rs
@@ -1,5 +1,7 @@
+use serde::{Deserialize, Serialize};
+
 /// Which write of which start of a server an entry is.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Edition {
     /// The start of the server, or zero if it does not say.
     pub born: u64,
--- a/crates/core/src/directory/removed.rs
+++ b/crates/core/src/directory/removed.rs
@@ -37,6 +37,12 @@
         self.editions.get(id).copied()
     }
 
+    /// Returns the servers that were removed last, with their editions.
+    pub fn latest(&self, count: usize) -> impl Iterator<Item = (Name, Edition)> {
+        let latest = self.order.iter().rev().take(count);
+        latest.filter_map(|id| Some((id.clone(), self.get(id)?)))
+    }
+
     /// Returns the servers with their start.
     pub fn iter(&self) -> impl Iterator<Item = (&Name, u64)> {
         self.editions.iter().map(|(id, it)| (id, it.born))
--- a/crates/core/tests/direct/late_writes.rs
+++ b/crates/core/tests/direct/late_writes.rs
@@ -144,6 +144,21 @@
     assert_eq!(node.known(), Some(written(2, 1)));
 }
 
+/// Guards against a node that starts between the removal of an entry and a late write, and takes that for a new server.
+#[test]
+fn late_write_at_new_node() {
+    let mut reader = node(vec![written(1, 4)]);
+    reader.publish(Fact::Gone(Name::new("i-1")), at(100));
+    let mut started = node(vec![]);
+    for (id, edition) in reader.balancer.directory().removed() {
+        started.balancer.directory_mut().note_removed(id, edition);
+    }
+    started.watch(written(1, 2), at(300));
+    assert_eq!(started.known(), None);
+    started.watch(written(1, 5), at(400));
+    assert_eq!(started.known(), Some(written(1, 5)), "it was silent, and runs");
+}
+
 /// Guards against a node that learns of a late write from a peer and forgets the running process, or is never told
 /// of the late write.
 #[test]
--- a/crates/direct/src/events.rs
+++ b/crates/direct/src/events.rs
@@ -57,6 +57,8 @@
 pub const SERVERS_REGAINED: Event = Event::new(5120, Level::Info, "servers answer again");
 /// A server was checked, as another node may need this one, which had no answer lately.
 pub const QUIET_CHECK: Event = Event::new(5126, Level::Info, "server checked for other nodes");
+/// Another node has told which entries were removed last.
+pub const LEARNED: Event = Event::new(5127, Level::Info, "removed entries learned");
 /// A watch beside the readers failed.
 pub const SCOUT_FAILED: Event = Event::new(5121, Level::Info, "watch beside the readers failed");
 /// A server has said in an answer that it leaves.
--- a/crates/direct/src/feed/catch_up.rs
+++ b/crates/direct/src/feed/catch_up.rs
@@ -47,8 +47,7 @@
 async fn fetch_from_peer(shared: &Shared, exchange: &Exchange) -> bool {
     let Some(address) = exchange.peer_to_ask() else { return false };
     let progress = shared.state.borrow().mirror.progress();
-    let question = Question { progress, is_away: false, wait_millis: 0, accepts_packed: true };
-    let reply = match fetch(address, question).await {
+    let reply = match fetch(address, Question::new(progress)).await {
         Ok(reply) => reply,
         Err(error) => {
             let operation = "fetch from a peer";
--- a/crates/direct/src/feed/confirm.rs
+++ b/crates/direct/src/feed/confirm.rs
@@ -46,7 +46,7 @@
     let witnesses = exchange.witnesses();
     let progress = shared.state.borrow().mirror.progress();
     let wait_millis = WITNESS_WAIT.as_millis() as u64;
-    let question = Question { progress, is_away: false, wait_millis, accepts_packed: true };
+    let question = Question { wait_millis, ..Question::new(progress) };
     let asked = witnesses.len();
     let mut replies: FuturesUnordered<_> =
         witnesses.into_iter().map(|it| fetch(it, question)).collect();
--- a/crates/direct/src/feed/mod.rs
+++ b/crates/direct/src/feed/mod.rs
@@ -3,12 +3,14 @@
 mod catch_up;
 mod confirm;
 mod follow;
+mod learn;
 mod read;
 mod scout;
 mod source;
 
 pub use self::{
     follow::follow,
+    learn::learn_removed,
     scout::scout,
     source::{Source, SourceError},
 };
--- a/crates/direct/src/node/run.rs
+++ b/crates/direct/src/node/run.rs
@@ -86,6 +86,7 @@
     }
     let source = Rc::new(settings.source);
     tokio::task::spawn_local(feed::follow(shared.clone(), source.clone(), exchange.clone()));
+    tokio::task::spawn_local(feed::learn_removed(shared.clone(), exchange.clone()));
     let ticks = timer.every(SCOUT_TICK_INTERVAL);
     tokio::task::spawn_local(feed::scout(shared.clone(), source, exchange.clone(), ticks));
     let (phases, phase) = watch::channel(None);
--- a/crates/direct/src/peers/exchange.rs
+++ b/crates/direct/src/peers/exchange.rs
@@ -341,6 +341,7 @@
         let packed = if question.accepts_packed { self.packed(&question.progress) } else { None };
         let state = self.shared.state.borrow();
         let uptime = state.balancer.directory().uptime();
+        let removed = || state.balancer.directory().removed().collect();
         let told = || state.mirror.update_since(&question.progress, &state.balancer);
         Reply {
             contact_age_millis: age.as_millis() as u64,
@@ -348,6 +349,7 @@
             uptime: uptime.map(|it| UptimeAge::new(it, now)),
             told: if packed.is_none() { told() } else { None },
             packed,
+            removed: if question.wants_removed { removed() } else { Vec::new() },
         }
     }
 
--- a/crates/direct/src/peers/fetch.rs
+++ b/crates/direct/src/peers/fetch.rs
@@ -53,7 +53,7 @@
             None => connect(address, LONG_POLL_WAIT + CALL_TIMEOUT).await?,
         };
         let wait_millis = LONG_POLL_WAIT.as_millis() as u64;
-        let question = Question { progress, is_away, wait_millis, accepts_packed: true };
+        let question = Question { is_away, wait_millis, ..Question::new(progress) };
         let reply = client.published(question).await?;
         *self.client.borrow_mut() = Some((address, client));
         unpacked(reply)
--- a/crates/direct/src/peers/rpc.rs
+++ b/crates/direct/src/peers/rpc.rs
@@ -6,8 +6,9 @@
     types::{ErrorObjectOwned, error::INTERNAL_ERROR_CODE},
 };
 use mimosabridge::{
-    directory::Uptime,
+    directory::{Edition, Uptime},
     feed::{Progress, Update},
+    name::Name,
     time::Time,
 };
 use serde::{Deserialize, Serialize};
@@ -36,6 +37,17 @@
     /// Whether it can read a packed update. Nodes of earlier versions say nothing.
     #[serde(default)]
     pub accepts_packed: bool,
+    /// Whether it asks which entries were removed last. Nodes of earlier versions don't.
+    #[serde(default)]
+    pub wants_removed: bool,
+}
+
+impl Question {
+    /// Creates the question of a node that knows the published facts up to a point and doesn't wait.
+    pub fn new(progress: Progress) -> Question {
+        let (is_away, wait_millis) = (false, 0);
+        Question { progress, is_away, wait_millis, accepts_packed: true, wants_removed: false }
+    }
 }
 
 /// The answer of a node to a question.
@@ -54,6 +66,9 @@
     /// The same update packed, in the place of a long one. Nodes of earlier versions send none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub packed: Option<String>,
+    /// The entries that were removed last, if the question asks for them. Nodes of earlier versions send none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub removed: Vec<(Name, Edition)>,
 }
 
 /// An uptime of the store, as ages: the clocks of nodes differ.
--- a/crates/direct/tests/node/packed_updates.rs
+++ b/crates/direct/tests/node/packed_updates.rs
@@ -5,6 +5,7 @@
 use base64::{Engine, engine::general_purpose::STANDARD};
 use flate2::{Compression, write::DeflateEncoder};
 use mimosabridge::{
+    directory::Edition,
     feed::{Fact, Position, Progress, Snapshot, Update},
     name::Name,
     plan::{Limits, Repeat, Rule, Spec, Target},
@@ -126,15 +127,23 @@
         told: Option<Update>,
     }
     let progress = Progress { version: 7, ..Progress::default() };
-    let question = Question { progress, is_away: true, wait_millis: 9, accepts_packed: true };
+    let asked = Question { is_away: true, wait_millis: 9, ..Question::new(progress) };
+    let question = Question { wants_removed: true, ..asked };
     let text = serde_json::to_string(&question).expect("the question can be written");
     let old: OldQuestion = serde_json::from_str(&text).expect("the question is read");
     assert_eq!((old.progress, old.is_away, old.wait_millis), (progress, true, 9));
     let told = Some(update(3));
     let uptime = Some(UptimeAge { since_millis: 9_000, until_millis: 4 });
     let told_whole = told.clone();
-    let reply =
-        Reply { contact_age_millis: 4, is_away: true, uptime, told: told_whole, packed: None };
+    let removed = vec![(Name::new("i-9"), Edition { born: 5, sequence: Some(4) })];
+    let reply = Reply {
+        contact_age_millis: 4,
+        is_away: true,
+        uptime,
+        told: told_whole,
+        packed: None,
+        removed,
+    };
     let text = serde_json::to_string(&reply).expect("the reply can be written");
     let old: OldReply = serde_json::from_str(&text).expect("the reply is read");
     assert_eq!((old.contact_age_millis, old.is_away, old.told), (4, true, told));
