--- a/crates/direct/src/feed/learn.rs
+++ b/crates/direct/src/feed/learn.rs
@@ -9,7 +9,7 @@
 /// How soon after its start, and after a try in vain, a node asks others.
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How often it tries. After that no other node runs.
+/// How often a node tries before it assumes that it runs alone.
 const MAX_TRIES: u32 = 10;
 
 /// Asks other nodes after the start which entries were removed last: a late write of such a server would look like the
@@ -24,9 +24,9 @@
             let Ok(reply) = fetch(address, question).await else { continue };
             has_answer = true;
             let count = reply.removed.len();
-            let directory = &mut shared.state.borrow_mut().balancer;
+            let state = &mut *shared.state.borrow_mut();
             for (id, edition) in reply.removed {
-                directory.directory_mut().note_removed(id, edition);
+                state.balancer.directory_mut().note_removed(id, edition);
             }
             // A node that has just started, too, knows none.
             if count > 0 {
