--- a/crates/direct/src/feed/learn.rs
+++ b/crates/direct/src/feed/learn.rs
@@ -21,7 +21,17 @@
         for address in exchange.witnesses() {
             let progress = shared.state.borrow().mirror.progress();
             let question = Question { wants_removed: true, ..Question::new(progress) };
-            let Ok(reply) = fetch(address, question).await else { continue };
+            let reply = match fetch(address, question).await {
+                Ok(reply) => reply,
+                Err(error) => {
+                    events::TROUBLE.emit(&[
+                        ("operation", &"ask for removed entries"),
+                        ("peer", &address),
+                        ("error", &error),
+                    ]);
+                    continue;
+                }
+            };
             has_answer = true;
             let count = reply.removed.len();
             let state = &mut *shared.state.borrow_mut();
